--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,132 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include "codec.h"
+#include "net/json.h"
+
+namespace liftrudder::config {
+namespace {
+
+namespace json = net::json;
+
+std::string Text(std::string_view object, std::string_view key) {
+  auto value = json::String(json::Get(object, key));
+  return value ? *value : std::string();
+}
+
+std::int64_t IntegerOr(std::string_view object, std::string_view key, std::int64_t otherwise) {
+  return json::Integer(json::Get(object, key)).value_or(otherwise);
+}
+
+std::vector<std::string> Names(std::string_view array) {
+  std::vector<std::string> out;
+  json::Elements(array, [&out](std::string_view value) {
+    out.push_back(json::String(value).value_or(""));
+    return true;
+  });
+  return out;
+}
+
+int Place(const std::vector<std::string>& names, const std::string& name) {
+  auto found = std::ranges::find(names, name);
+  return found == names.end() ? 0 : static_cast<int>(found - names.begin());
+}
+
+core::HolderEntry Entry(std::string_view text, const Config& config) {
+  core::HolderEntry entry;
+  entry.id = Text(text, "id");
+  entry.addr = Text(text, "addr");
+  entry.told.cell = static_cast<int>(IntegerOr(text, "cell", 0));
+  entry.told.zone = Place(config.zones, Text(text, "zone"));
+  entry.told.kind = Place(config.kinds, Text(text, "kind"));
+  entry.told.weight = json::Number(json::Get(text, "weight")).value_or(1);
+  entry.told.launched_us = IntegerOr(text, "started_ms", 0) * 1000;  // the module's clock starts at wall time
+  std::string state = Text(text, "state");
+  if (state == "draining") {
+    entry.told.availability = tinsail::Availability::kDraining;
+  } else if (state == "gone") {
+    entry.told.availability = tinsail::Availability::kGone;
+  } else if (state != "ready") {
+    throw std::runtime_error("holder list: unknown state '" + state + "'");
+  }
+  if (entry.id.empty()) throw std::runtime_error("holder list: an entry without an id");
+  return entry;
+}
+
+}  // namespace
+
+core::HolderList ParseHolders(std::string_view text, const Config& config) {
+  core::HolderList list;
+  auto version = json::Integer(json::Get(text, "version"));
+  auto full = json::Bool(json::Get(text, "full"));
+  if (!version || !full) throw std::runtime_error("holder list: no version, or not said whether full");
+  list.version = static_cast<std::uint64_t>(*version);
+  list.kind = *full ? tinsail::ListKind::kFull : tinsail::ListKind::kDelta;
+  bool ok = json::Elements(json::Get(text, "servers"), [&](std::string_view entry) {
+    list.entries.push_back(Entry(entry, config));
+    return true;
+  });
+  if (!ok) throw std::runtime_error("holder list: no list of servers");
+  return list;
+}
+
+Budget ShareOut(int sockets, int memory_mb) {
+  // Kept back: standard streams, listener, discovery, and what is being accepted or closed just now.
+  constexpr int kReserve = 48;
+  // A connection's thread touches its stack, parser and a body: 256 KiB at the most. A third of the memory
+  // stays with the core, its queue and the allocator.
+  constexpr int kPerMb = 4;
+  int descriptors = std::max(16, sockets - kReserve);
+  int threads = std::max(16, memory_mb * kPerMb * 2 / 3);
+  Budget budget;
+  budget.holder_connections = std::min(descriptors / 3, threads / 3);
+  // A client's connection holds two descriptors: its own and the one that wakes its thread.
+  budget.client_connections = std::min((descriptors - budget.holder_connections) / 2, threads * 2 / 3);
+  return budget;
+}
+
+Config Parse(std::string_view text) {
+  if (!json::Valid(text)) throw std::runtime_error("configuration: not JSON");
+  Config out;
+  out.name = Text(text, "name");
+  out.listen = Text(text, "listen");
+  out.discovery = Text(text, "discovery");
+  std::string seed = Text(text, "seed");
+  std::from_chars(seed.data(), seed.data() + seed.size(), out.seed, 16);
+  std::string_view settings = json::Get(text, "settings");
+  out.settings = tinsail::sim::ParseSettings(settings);
+  json::Elements(json::Get(settings, "grades"), [&out](std::string_view grade) {
+    out.classes.push_back(Text(grade, "name"));
+    return true;
+  });
+  out.zones = Names(json::Get(settings, "dcs"));
+  out.kinds = Names(json::Get(settings, "kinds"));
+  out.load_names = Names(json::Get(json::Get(settings, "loadInfo"), "names"));
+  std::string_view bounds = json::Get(settings, "bounds");
+  out.connect_timeout_us = IntegerOr(bounds, "connectTimeoutUs", out.connect_timeout_us);
+  out.idle_close_us = IntegerOr(bounds, "idleCloseUs", out.idle_close_us);
+  out.streams_per_connection =
+      std::max<int>(1, static_cast<int>(IntegerOr(bounds, "streamsPerConn", out.streams_per_connection)));
+  std::string_view limits = json::Get(text, "limits");
+  out.budget = ShareOut(static_cast<int>(IntegerOr(limits, "sockets", 1024)),
+                        static_cast<int>(IntegerOr(limits, "memory_mb", 192)));
+  std::string_view known = json::Get(text, "known");
+  if (!known.empty()) out.known = ParseHolders(known, out);
+  out.known.kind = tinsail::ListKind::kCached;
+  return out;
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw std::runtime_error("cannot read " + path);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+
+}  // namespace liftrudder::config
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,44 @@
+// What a gatherer is told at its start, and how its memory and descriptors are shared out.
+#ifndef LIFTRUDDER_CONFIG_CONFIG_H_
+#define LIFTRUDDER_CONFIG_CONFIG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/directory.h"
+#include "tinsail/tinsail.h"
+
+namespace liftrudder::config {
+
+struct Budget {
+  int client_connections = 0;
+  int holder_connections = 0;
+};
+
+struct Config {
+  std::string name, listen, discovery;
+  std::uint64_t seed = 0;
+  tinsail::Settings settings;
+  std::vector<std::string> classes, zones, kinds, load_names;
+  tinsail::Micros connect_timeout_us = 250'000;
+  tinsail::Micros idle_close_us = 30'000'000;
+  int streams_per_connection = 100;
+  core::HolderList known;
+  Budget budget;
+};
+
+// Throws std::runtime_error saying what is wrong.
+Config Parse(std::string_view text);
+std::string ReadFile(const std::string& path);
+
+// A list in discovery's form; throws std::runtime_error when it is not one.
+core::HolderList ParseHolders(std::string_view text, const Config& config);
+
+// How many connections of either side fit the limits; holders' share is kept back from clients.
+Budget ShareOut(int sockets, int memory_mb);
+
+}  // namespace liftrudder::config
+
+#endif  // LIFTRUDDER_CONFIG_CONFIG_H_
--- /dev/null
+++ b/src/core/admit.cpp
@@ -0,0 +1,26 @@
+// Stage admit: on the client's own thread, before the core is bothered.
+#include "core/core.h"
+
+namespace liftrudder::core {
+namespace {
+
+constexpr int kMostOpen = 8192;  // our own cap, where the settings state none or a larger one
+
+}  // namespace
+
+std::optional<Id> Core::Admit(QueryRequest request, std::shared_ptr<ClientReply> reply) {
+  int size = 1 + static_cast<int>(request.parts.size());
+  int most = settings_.max_open > 0 ? std::min(settings_.max_open, kMostOpen) : kMostOpen;
+  if (open_.fetch_add(size) + size > most) {
+    open_.fetch_sub(size);
+    counters_.turned_away.Add();
+    return std::nullopt;
+  }
+  open_queries_.fetch_add(1);
+  counters_.taken.Add();
+  Id id = next_id_.fetch_add(static_cast<Id>(size));
+  Post(Arrival{id, std::move(request), std::move(reply)});
+  return id;
+}
+
+}  // namespace liftrudder::core
--- /dev/null
+++ b/src/core/core.h
@@ -0,0 +1,96 @@
+// The one thread that owns the module and the book. Everything reaches it through a bounded queue.
+#ifndef LIFTRUDDER_CORE_CORE_H_
+#define LIFTRUDDER_CORE_CORE_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <variant>
+
+#include "core/book.h"
+#include "core/ports.h"
+#include "metrics/metrics.h"
+
+namespace liftrudder::core {
+
+struct Arrival {
+  Id id = 0;
+  QueryRequest request;
+  std::shared_ptr<ClientReply> reply;
+};
+struct Hangup {
+  Id id = 0;
+};
+using Input = std::variant<Arrival, Hangup, AttemptResult, tinsail::ListNews>;
+
+class Core {
+ public:
+  Core(const tinsail::Settings& settings, std::uint64_t seed, const Clock& clock,
+       const HolderDirectory& directory, metrics::Counters& counters);
+
+  void Attach(HolderTransport& transport) { transport_ = &transport; }
+
+  // Stage admit. The query's id, or nothing when a cap or the list of what may be open turns it away.
+  std::optional<Id> Admit(QueryRequest request, std::shared_ptr<ClientReply> reply);
+  // Never refused: their number is bounded by what was admitted, or by the holder list.
+  void Post(Input input);
+
+  void Run();   // on the core's own thread, until Stop
+  void Stop();  // from any thread
+  int Open() const { return open_queries_.load(); }
+
+ private:
+  // Waits for input or a timer, but never less than a resolution after the last round.
+  std::vector<Input> NextBatch();
+
+  // Stage intake: inputs to events.
+  void Take(Arrival& arrival);
+  void Take(Hangup& hangup);
+  void Take(AttemptResult& result);
+  void Take(tinsail::ListNews& news);
+  void TakeDue();
+
+  // Stages route and send.
+  void Act(const tinsail::Send& send);
+  void Act(const tinsail::Cancel& cancel);
+  void Act(const tinsail::Close& close);
+  void Act(const tinsail::SetTimer& timer);
+  void Act(const tinsail::Subscribe&) {}  // the watch is always open
+
+  // Stage relay.
+  void Act(const tinsail::Answer& answer);
+  void Act(const tinsail::Refuse& refuse);
+  void Act(const tinsail::Fail& fail);
+  void Finish(Id query, FinalAnswer answer);
+  void CloseQuery(Id query, int parts);
+
+  const tinsail::Settings settings_;
+  tinsail::Aggregator aggregator_;
+  const Clock& clock_;
+  const HolderDirectory& directory_;
+  metrics::Counters& counters_;
+  HolderTransport* transport_ = nullptr;
+
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::deque<Input> queue_;
+  bool stopping_ = false;
+  std::atomic<int> open_{0};  // queries and parts, as the settings count them
+  std::atomic<int> open_queries_{0};
+  std::atomic<Id> next_id_{1};
+
+  // The core's thread alone:
+  Book book_;
+  std::set<std::pair<Micros, std::uint64_t>> timers_;
+  std::vector<tinsail::Event> events_;
+  Micros now_ = 0;
+  Micros last_round_us_ = 0;
+  std::int64_t number_ = 0;
+};
+
+}  // namespace liftrudder::core
+
+#endif  // LIFTRUDDER_CORE_CORE_H_
--- /dev/null
+++ b/src/core/directory.cpp
@@ -0,0 +1,61 @@
+#include "core/directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace liftrudder::core {
+namespace {
+
+constexpr Micros kStopMargin = 30'000;  // between the last look at the limit and the first byte on the wire
+
+}  // namespace
+
+void Directory::StopSending(HolderAddress& holder, Micros told_us) const {
+  if (holder.stop_sending_us == 0)
+    holder.stop_sending_us = told_us + std::max<Micros>(0, settings_.stop_sending_within_us - kStopMargin);
+}
+
+std::optional<tinsail::ListNews> Directory::Apply(const HolderList& list, Micros told_us) {
+  std::lock_guard lock(mutex_);
+  // A list that came by another way late must not bring a drained holder back.
+  bool whole = list.kind != tinsail::ListKind::kDelta;
+  if (any_ && (whole ? list.version < version_ : list.version <= version_)) return std::nullopt;
+  any_ = true;
+  version_ = list.version;
+  tinsail::ListNews news;
+  news.kind = list.kind;
+  news.version = list.version;
+  std::set<ReplicaId> named;
+  for (const HolderEntry& entry : list.entries) {
+    auto [place, fresh] = ids_.try_emplace(entry.id);
+    if (fresh) place->second = ReplicaId{static_cast<std::uint32_t>(ids_.size()), 1};
+    HolderAddress& holder = holders_[place->second];
+    holder.id = entry.id;
+    holder.addr = entry.addr;
+    if (entry.told.availability == tinsail::Availability::kReady) {
+      holder.stop_sending_us = 0;
+    } else {
+      StopSending(holder, told_us);
+    }
+    named.insert(place->second);
+    news.replicas.push_back(entry.told);
+    news.replicas.back().id = place->second;
+  }
+  for (auto& [id, holder] : holders_) {
+    if (whole && !named.contains(id)) StopSending(holder, told_us);
+  }
+  return news;
+}
+
+HolderAddress Directory::Find(const ReplicaId& holder) const {
+  std::lock_guard lock(mutex_);
+  auto found = holders_.find(holder);
+  return found == holders_.end() ? HolderAddress{} : found->second;
+}
+
+std::uint64_t Directory::Version() const {
+  std::lock_guard lock(mutex_);
+  return version_;
+}
+
+}  // namespace liftrudder::core
--- /dev/null
+++ b/src/core/directory.h
@@ -0,0 +1,49 @@
+// The holder list as last told: names to ids, addresses, and until when each may be sent to.
+#ifndef LIFTRUDDER_CORE_DIRECTORY_H_
+#define LIFTRUDDER_CORE_DIRECTORY_H_
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/ports.h"
+
+namespace liftrudder::core {
+
+struct HolderEntry {
+  std::string id;
+  std::string addr;
+  tinsail::Replica told;  // its id is given by the directory
+};
+
+struct HolderList {
+  std::uint64_t version = 0;
+  tinsail::ListKind kind = tinsail::ListKind::kFull;
+  std::vector<HolderEntry> entries;
+};
+
+class Directory : public HolderDirectory {
+ public:
+  explicit Directory(const tinsail::Settings& settings) : settings_(settings) {}
+
+  // What the module is to be told; nothing when the list is older than what is known.
+  std::optional<tinsail::ListNews> Apply(const HolderList& list, Micros told_us);
+  HolderAddress Find(const ReplicaId& holder) const override;
+  std::uint64_t Version() const;
+
+ private:
+  void StopSending(HolderAddress& holder, Micros told_us) const;
+
+  const tinsail::Settings settings_;
+  mutable std::mutex mutex_;
+  bool any_ = false;
+  std::uint64_t version_ = 0;
+  std::map<std::string, ReplicaId> ids_;
+  std::map<ReplicaId, HolderAddress> holders_;
+};
+
+}  // namespace liftrudder::core
+
+#endif  // LIFTRUDDER_CORE_DIRECTORY_H_
--- /dev/null
+++ b/src/core/ports.h
@@ -0,0 +1,121 @@
+// What the core speaks: queries, attempts, final answers, and the four interfaces to the world. No wire here.
+#ifndef LIFTRUDDER_CORE_PORTS_H_
+#define LIFTRUDDER_CORE_PORTS_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tinsail/tinsail.h"
+
+namespace liftrudder::core {
+
+using tinsail::Id;
+using tinsail::Micros;
+using tinsail::OutcomeCode;
+using tinsail::ReplicaId;
+
+struct PartRequest {
+  int shard = 0;
+  double weight = 0;
+  Micros work_us = 0;
+  std::uint64_t key = 0;
+};
+
+// What every part of a query carries on, byte for byte as the client gave it.
+struct Payload {
+  std::string call_id;
+  std::string dedup_key;  // only in a deduplicated class
+  std::string statement;
+  std::string target;  // which index it is about, where a front has such a thing
+};
+
+struct QueryRequest {
+  int class_index = 0;
+  bool repeated = false;
+  Micros deadline_us = 0;
+  std::shared_ptr<const Payload> payload;
+  std::vector<PartRequest> parts;
+};
+
+enum class Verdict { kAnswered, kRefused, kFailed };
+
+struct Piece {
+  int shard = 0;
+  std::string value;
+};
+
+struct FinalAnswer {
+  Verdict verdict = Verdict::kFailed;
+  bool full = false;
+  Micros retry_after_us = 0;
+  std::vector<Piece> pieces;
+  int parts = 0;  // of the query, answered or not
+};
+
+// How far an attempt had come when it ended, and why it ended. Whether it may have run follows from these alone.
+enum class Progress { kNotConnected, kPartlyWritten, kWhollyWritten, kAnswering };
+enum class Cause { kServed, kBroke, kSkipped, kConnectionLost, kWithdrawn, kExpired, kStale };
+
+OutcomeCode OutcomeOf(Progress progress, Cause cause);
+
+struct AttemptKey {
+  Id part = 0;
+  int attempt = 0;
+  auto operator<=>(const AttemptKey&) const = default;
+};
+
+struct AttemptOrder {
+  AttemptKey key;
+  ReplicaId holder;
+  int shard = 0;
+  Micros wait_until_us = 0;
+  std::shared_ptr<const Payload> payload;
+};
+
+struct AttemptResult {
+  AttemptKey key;
+  Progress progress = Progress::kNotConnected;
+  Cause cause = Cause::kConnectionLost;
+  std::vector<double> load;
+  std::string value;
+};
+
+// One client waiting for one query. Deliver is called at most once, from the core's thread, and never blocks.
+class ClientReply {
+ public:
+  virtual ~ClientReply() = default;
+  virtual void Deliver(FinalAnswer answer) = 0;
+};
+
+// Takes attempts to holders. No call blocks on a socket; each Start ends in exactly one result.
+class HolderTransport {
+ public:
+  virtual ~HolderTransport() = default;
+  virtual void Start(AttemptOrder order) = 0;
+  virtual void Withdraw(const AttemptKey& key, const ReplicaId& holder, Cause cause) = 0;
+  virtual void CloseIdle(const ReplicaId& holder) = 0;
+};
+
+struct HolderAddress {
+  std::string id;
+  std::string addr;
+  Micros stop_sending_us = 0;  // told that it drains or is gone: nothing new from then on; 0: not told
+};
+
+// The holders by their identity; safe from any thread.
+class HolderDirectory {
+ public:
+  virtual ~HolderDirectory() = default;
+  virtual HolderAddress Find(const ReplicaId& holder) const = 0;
+};
+
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual Micros Now() const = 0;
+};
+
+}  // namespace liftrudder::core
+
+#endif  // LIFTRUDDER_CORE_PORTS_H_
--- /dev/null
+++ b/src/core/relay.cpp
@@ -0,0 +1,51 @@
+// Stage relay: the module's last word on a query goes to its client, at once and once.
+#include "core/core.h"
+
+namespace liftrudder::core {
+
+void Core::Act(const tinsail::Answer& answer) {
+  FinalAnswer out;
+  out.verdict = Verdict::kAnswered;
+  out.full = answer.full;
+  Finish(answer.query, std::move(out));
+}
+
+void Core::Act(const tinsail::Refuse& refuse) {
+  FinalAnswer out;
+  out.verdict = Verdict::kRefused;
+  out.retry_after_us = refuse.retry_after_us;
+  Finish(refuse.query, std::move(out));
+}
+
+void Core::Act(const tinsail::Fail& fail) { Finish(fail.query, {}); }
+
+void Core::Finish(Id id, FinalAnswer answer) {
+  const OpenQuery* query = book_.Query(id);
+  if (query == nullptr) return;
+  std::shared_ptr<ClientReply> reply = query->reply;
+  answer.parts = query->parts;
+  std::vector<Piece> pieces = book_.Close(id);
+  if (answer.verdict == Verdict::kAnswered) answer.pieces = std::move(pieces);
+  open_.fetch_sub(1 + answer.parts);
+  open_queries_.fetch_sub(1);
+  switch (answer.verdict) {
+    case Verdict::kAnswered:
+      (answer.full ? counters_.whole : counters_.partial).Add();
+      break;
+    case Verdict::kRefused:
+      counters_.refused.Add();
+      break;
+    case Verdict::kFailed:
+      counters_.failed.Add();
+      break;
+  }
+  reply->Deliver(std::move(answer));
+}
+
+void Core::CloseQuery(Id id, int parts) {
+  book_.Close(id);
+  open_.fetch_sub(1 + parts);
+  open_queries_.fetch_sub(1);
+}
+
+}  // namespace liftrudder::core
--- /dev/null
+++ b/src/core/route.cpp
@@ -0,0 +1,30 @@
+// Stages route and send: an attempt the module decided on is entered in the book and given to the transport.
+#include "core/core.h"
+
+namespace liftrudder::core {
+
+void Core::Act(const tinsail::Send& send) {
+  OpenPart* part = book_.Part(send.part);
+  if (part == nullptr) return;
+  OpenAttempt attempt{send.replica, now_, now_ + send.timeout_us, true};
+  AttemptOrder order;
+  order.holder = send.replica;
+  order.shard = part->request.shard;
+  order.wait_until_us = attempt.wait_until_us;
+  order.payload = part->payload;
+  order.key = {send.part, book_.Begin(send.part, *part, attempt)};
+  counters_.sent.Add();
+  if (order.key.attempt > 0) counters_.resent.Add();
+  transport_->Start(std::move(order));
+}
+
+void Core::Act(const tinsail::Cancel& cancel) {
+  OpenPart* part = book_.Part(cancel.part);
+  auto index = static_cast<std::size_t>(cancel.attempt);
+  if (part == nullptr || index >= part->attempts.size() || !part->attempts[index].out) return;
+  transport_->Withdraw({cancel.part, cancel.attempt}, part->attempts[index].holder, Cause::kWithdrawn);
+}
+
+void Core::Act(const tinsail::Close& close) { transport_->CloseIdle(close.replica); }
+
+}  // namespace liftrudder::core
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,91 @@
+// liftrudder: one gatherer. Puts the parts together, serves until SIGTERM, ends when nothing is open.
+#include <signal.h>
+#include <time.h>
+
+#include <cstdlib>
+#include <exception>
+#include <stdexcept>
+
+#include "config/config.h"
+#include "core/core.h"
+#include "log/log.h"
+#include "net/holder_links.h"
+#include "net/server.h"
+#include "platform/discovery.h"
+#include "platform/frames.h"
+#include "platform/front.h"
+
+namespace {
+
+namespace lr = liftrudder;
+
+constexpr lr::core::Micros kStillListening = 700'000;  // after SIGTERM
+constexpr lr::core::Micros kSlice = 1'000'000;
+
+sigset_t Signals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
+  return set;
+}
+
+// Until told to end; SIGUSR1 prints the counters.
+void WaitForEnd(const sigset_t& signals, const lr::metrics::Counters& counters) {
+  int signal = 0;
+  while (sigwait(&signals, &signal) == 0 && signal == SIGUSR1) lr::log::Info("counters\n{}", counters.Text());
+}
+
+void Pause(lr::core::Micros span) {
+  timespec left{span / 1'000'000, (span % 1'000'000) * 1000};
+  while (nanosleep(&left, &left) != 0) {
+  }
+}
+
+void Serve(const lr::config::Config& config, const sigset_t& signals) {
+  lr::metrics::Counters counters;
+  lr::net::SteadyClock clock;
+  lr::core::Directory directory(config.settings);
+  lr::core::Core core(config.settings, config.seed, clock, directory, counters);
+  lr::platform::FrameDialect dialect(config.load_names);
+  lr::net::LinkLimits limits{config.connect_timeout_us, config.idle_close_us, config.streams_per_connection,
+                             config.budget.holder_connections};
+  auto links = std::make_unique<lr::net::HolderLinks>(
+      dialect, directory, clock, limits, counters,
+      [&core](lr::core::AttemptResult result) { core.Post(std::move(result)); });
+  core.Attach(*links);
+  if (auto news = directory.Apply(config.known, clock.Now())) core.Post(std::move(*news));
+  lr::net::Thread core_thread([&core] { core.Run(); });
+  {
+    lr::platform::DiscoveryWatch watch(config, directory, core, clock);
+    lr::platform::Front front(config, core, clock, counters);
+    lr::net::Fd listener = lr::net::Listen(config.listen);
+    if (!listener.Valid()) throw std::runtime_error("cannot listen on " + config.listen);
+    lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
+    lr::net::Server server(std::move(listener), front, clock, counters, config.budget.client_connections);
+    WaitForEnd(signals, counters);
+    lr::log::Info("told to end; {} queries are open", core.Open());
+    server.Drain();
+    Pause(kStillListening);
+    server.StopListening();
+    while (!server.WaitClosed(kSlice)) {
+    }
+  }
+  core.Stop();
+  core_thread.Join();
+  links.reset();
+  lr::log::Info("ended\n{}", counters.Text());
+}
+
+}  // namespace
+
+int main() try {
+  sigset_t signals = Signals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const char* path = std::getenv("BALANCER_CONFIG");
+  if (path == nullptr) throw std::runtime_error("BALANCER_CONFIG names no configuration");
+  Serve(lr::config::Parse(lr::config::ReadFile(path)), signals);
+  return 0;
+} catch (const std::exception& error) {
+  lr::log::Error("{}", error.what());
+  return 1;
+}
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,199 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <memory>
+#include <optional>
+
+namespace liftrudder::net {
+namespace {
+
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+constexpr std::size_t kStackBytes = 1024 * 1024;
+#else
+constexpr std::size_t kStackBytes = 128 * 1024;
+#endif
+
+Micros ReadClock(clockid_t id) {
+  timespec at{};
+  clock_gettime(id, &at);
+  return Micros{at.tv_sec} * 1'000'000 + at.tv_nsec / 1000;
+}
+
+std::optional<sockaddr_in> Parse(const std::string& address) {
+  auto colon = address.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  std::uint16_t port = 0;
+  auto [end, error] = std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+  if (error != std::errc() || end != address.data() + address.size()) return std::nullopt;
+  out.sin_port = htons(port);
+  if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr) != 1) return std::nullopt;
+  return out;
+}
+
+// Waits for `events` on `fd` until the monotonic time `until`; the events seen, 0 at the end of the time.
+short Wait(int fd, short events, Micros until) {
+  while (true) {
+    Micros left = std::max<Micros>(0, until - ReadClock(CLOCK_MONOTONIC));
+    pollfd one{fd, events, 0};
+    timespec span{left / 1'000'000, (left % 1'000'000) * 1000};
+    int got = ppoll(&one, 1, &span, nullptr);
+    if (got > 0) return one.revents;
+    if (got == 0) return 0;
+    if (errno != EINTR) return POLLERR;
+  }
+}
+
+Micros Until(Micros wait_us) { return ReadClock(CLOCK_MONOTONIC) + std::max<Micros>(0, wait_us); }
+
+void* Enter(void* raw) {
+  std::unique_ptr<std::function<void()>> body(static_cast<std::function<void()>*>(raw));
+  (*body)();
+  return nullptr;
+}
+
+bool Spawn(pthread_t& handle, std::function<void()> body, bool joinable) {
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  pthread_attr_setstacksize(&attributes, kStackBytes);
+  if (!joinable) pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
+  auto owned = std::make_unique<std::function<void()>>(std::move(body));
+  bool ok = pthread_create(&handle, &attributes, Enter, owned.get()) == 0;
+  pthread_attr_destroy(&attributes);
+  if (ok) static_cast<void>(owned.release());
+  return ok;
+}
+
+}  // namespace
+
+Fd& Fd::operator=(Fd&& other) noexcept {
+  if (this != &other) {
+    if (fd_ >= 0) ::close(fd_);
+    fd_ = std::exchange(other.fd_, -1);
+  }
+  return *this;
+}
+
+Fd::~Fd() {
+  if (fd_ >= 0) ::close(fd_);
+}
+
+SteadyClock::SteadyClock() : offset_us_(ReadClock(CLOCK_REALTIME) - ReadClock(CLOCK_MONOTONIC)) {}
+Micros SteadyClock::Now() const { return ReadClock(CLOCK_MONOTONIC) + offset_us_; }
+
+Fd Connect(const std::string& address, Micros wait_us) {
+  auto to = Parse(address);
+  if (!to) return Fd();
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+  if (!fd.Valid()) return fd;
+  Micros until = Until(wait_us);
+  if (::connect(fd.Get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0) {
+    if (errno != EINPROGRESS || Wait(fd.Get(), POLLOUT, until) == 0) return Fd();
+    int error = 0;
+    socklen_t size = sizeof error;
+    if (getsockopt(fd.Get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) return Fd();
+  }
+  int flags = fcntl(fd.Get(), F_GETFL);
+  fcntl(fd.Get(), F_SETFL, flags & ~O_NONBLOCK);
+  int on = 1;
+  setsockopt(fd.Get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return fd;
+}
+
+Fd Listen(const std::string& address) {
+  auto at = Parse(address);
+  if (!at) return Fd();
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  int on = 1;
+  setsockopt(fd.Get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (::bind(fd.Get(), reinterpret_cast<sockaddr*>(&*at), sizeof *at) != 0 || ::listen(fd.Get(), 256) != 0)
+    return Fd();
+  return fd;
+}
+
+std::string LocalAddress(const Fd& fd) {
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  if (getsockname(fd.Get(), reinterpret_cast<sockaddr*>(&at), &size) != 0) return {};
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &at.sin_addr, text, sizeof text);
+  return std::string(text) + ":" + std::to_string(ntohs(at.sin_port));
+}
+
+Fd Accept(const Fd& listener, Micros wait_us) {
+  if (Wait(listener.Get(), POLLIN, Until(wait_us)) == 0) return Fd();
+  Fd fd(::accept4(listener.Get(), nullptr, nullptr, SOCK_CLOEXEC));
+  int on = 1;
+  if (fd.Valid()) setsockopt(fd.Get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return fd;
+}
+
+Written WriteAll(const Fd& fd, std::string_view bytes, Micros wait_us) {
+  Written out;
+  Micros until = Until(wait_us);
+  while (out.bytes < bytes.size()) {
+    ssize_t sent = ::send(fd.Get(), bytes.data() + out.bytes, bytes.size() - out.bytes,
+                          MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent > 0) {
+      out.bytes += static_cast<std::size_t>(sent);
+    } else if (sent < 0 && errno == EINTR) {
+      continue;
+    } else if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      if (Wait(fd.Get(), POLLOUT, until) == 0) return {Io::kTimeout, out.bytes};
+    } else {
+      return {Io::kError, out.bytes};
+    }
+  }
+  return out;
+}
+
+Io ReadSome(const Fd& fd, std::string& out, Micros wait_us) {
+  Micros until = Until(wait_us);
+  char buffer[8192];
+  while (true) {
+    if (Wait(fd.Get(), POLLIN, until) == 0) return Io::kTimeout;
+    ssize_t got = ::recv(fd.Get(), buffer, sizeof buffer, MSG_DONTWAIT);
+    if (got > 0) {
+      out.append(buffer, static_cast<std::size_t>(got));
+      return Io::kOk;
+    }
+    if (got == 0) return Io::kEnd;
+    if (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK) return Io::kError;
+  }
+}
+
+bool Readable(int fd, Micros wait_us) { return Wait(fd, POLLIN, Until(wait_us)) != 0; }
+
+void ShutDown(const Fd& fd) { ::shutdown(fd.Get(), SHUT_RDWR); }
+
+Thread::Thread(std::function<void()> body) : running_(Spawn(handle_, std::move(body), true)) {}
+Thread::Thread(Thread&& other) noexcept
+    : handle_(other.handle_), running_(std::exchange(other.running_, false)) {}
+Thread& Thread::operator=(Thread&& other) noexcept {
+  Join();
+  handle_ = other.handle_;
+  running_ = std::exchange(other.running_, false);
+  return *this;
+}
+void Thread::Join() {
+  if (std::exchange(running_, false)) pthread_join(handle_, nullptr);
+}
+
+bool Detach(std::function<void()> body) {
+  pthread_t handle{};
+  return Spawn(handle, std::move(body), false);
+}
+
+}  // namespace liftrudder::net
--- /dev/null
+++ b/src/net/socket.h
@@ -0,0 +1,82 @@
+// Descriptors, deadlines on blocking sockets, and threads with small stacks.
+#ifndef LIFTRUDDER_NET_SOCKET_H_
+#define LIFTRUDDER_NET_SOCKET_H_
+
+#include <pthread.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "core/ports.h"
+
+namespace liftrudder::net {
+
+using core::Micros;
+
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept;
+  ~Fd();
+  int Get() const { return fd_; }
+  bool Valid() const { return fd_ >= 0; }
+
+ private:
+  int fd_ = -1;
+};
+
+// Monotonic, with the wall's origin at the program's start: wall times of others can be set against it.
+class SteadyClock : public core::Clock {
+ public:
+  SteadyClock();
+  Micros Now() const override;
+
+ private:
+  Micros offset_us_;
+};
+
+enum class Io { kOk, kEnd, kTimeout, kError };
+
+struct Written {
+  Io status = Io::kOk;
+  std::size_t bytes = 0;
+};
+
+// `address` is HOST:PORT in numbers. Waits at most so long for the connection.
+Fd Connect(const std::string& address, Micros wait_us);
+Fd Listen(const std::string& address);
+std::string LocalAddress(const Fd& fd);
+Fd Accept(const Fd& listener, Micros wait_us);
+
+Written WriteAll(const Fd& fd, std::string_view bytes, Micros wait_us);
+// Appends what is there to `out`; waits at most so long for the first byte.
+Io ReadSome(const Fd& fd, std::string& out, Micros wait_us);
+// Whether there is something to read or an end to see; waits at most so long.
+bool Readable(int fd, Micros wait_us);
+void ShutDown(const Fd& fd);
+
+// A joining thread with a stack of kStackBytes.
+class Thread {
+ public:
+  Thread() = default;
+  explicit Thread(std::function<void()> body);
+  Thread(Thread&& other) noexcept;
+  Thread& operator=(Thread&& other) noexcept;
+  ~Thread() { Join(); }
+  void Join();
+
+ private:
+  pthread_t handle_{};
+  bool running_ = false;
+};
+
+// The same, left to itself; false when the system grants no more.
+bool Detach(std::function<void()> body);
+
+}  // namespace liftrudder::net
+
+#endif  // LIFTRUDDER_NET_SOCKET_H_
--- /dev/null
+++ b/src/platform/discovery.h
@@ -0,0 +1,35 @@
+// The watch on the holder list: keeps one stream open, applies versions in order, tells the core.
+#ifndef LIFTRUDDER_PLATFORM_DISCOVERY_H_
+#define LIFTRUDDER_PLATFORM_DISCOVERY_H_
+
+#include <atomic>
+
+#include "config/config.h"
+#include "core/core.h"
+#include "core/directory.h"
+#include "net/socket.h"
+
+namespace liftrudder::platform {
+
+class DiscoveryWatch {
+ public:
+  DiscoveryWatch(const config::Config& config, core::Directory& directory, core::Core& core,
+                 const core::Clock& clock);
+  ~DiscoveryWatch();
+
+ private:
+  void Loop();
+  void Watch();
+  void TakeLine(std::string_view line);
+
+  const config::Config& config_;
+  core::Directory& directory_;
+  core::Core& core_;
+  const core::Clock& clock_;
+  std::atomic<bool> stopping_{false};
+  net::Thread thread_;
+};
+
+}  // namespace liftrudder::platform
+
+#endif  // LIFTRUDDER_PLATFORM_DISCOVERY_H_
--- /dev/null
+++ b/src/platform/frames.cpp
@@ -0,0 +1,119 @@
+#include "platform/frames.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+namespace liftrudder::platform {
+namespace {
+
+constexpr std::size_t kMaxFrame = 128 * 1024;
+
+std::string Frame(char letter, std::string_view rest) {
+  std::string out;
+  std::size_t size = rest.size() + 1;
+  for (int shift = 0; shift < 32; shift += 8) out.push_back(static_cast<char>(size >> shift & 0xff));
+  out.push_back(letter);
+  return out.append(rest);
+}
+
+std::string_view Word(std::string_view& line, char end = ' ') {
+  std::string_view word = line.substr(0, line.find(end));
+  line.remove_prefix(std::min(line.size(), word.size() + 1));
+  return word;
+}
+
+// The settings and the report on the sockets have their own names for the same two figures.
+std::string_view Known(std::string_view name) {
+  if (name == "queue") return "q";
+  if (name == "inflight") return "rif";
+  return name;
+}
+
+class FrameReader : public net::AnswerReader {
+ public:
+  explicit FrameReader(const std::vector<std::string>& load_names) : load_names_(load_names) {}
+
+  bool Take(std::string& in, const std::string&, std::vector<net::HolderAnswer>& out) override {
+    std::string_view rest = in;
+    bool usable = true;
+    while (usable && rest.size() >= 4) {
+      std::size_t size = 0;
+      for (std::size_t i = 4; i-- > 0;) size = size << 8 | static_cast<unsigned char>(rest[i]);
+      if (size == 0 || size > kMaxFrame) return false;
+      if (rest.size() - 4 < size) break;
+      usable = TakeFrame(rest.substr(4, size), out);
+      rest.remove_prefix(4 + size);
+    }
+    in.erase(0, in.size() - rest.size());
+    return usable;
+  }
+
+ private:
+  // False on a frame that is not one, and on `e`: the holder closes after it.
+  bool TakeFrame(std::string_view frame, std::vector<net::HolderAnswer>& out) const {
+    if (frame.front() == 'p' || frame.front() == 'l') return true;
+    auto line_end = frame.find('\n');
+    if (frame.front() != 'a' || line_end == std::string_view::npos) return false;
+    std::string_view line = frame.substr(1, line_end - 1);
+    net::HolderAnswer answer;
+    answer.id = Word(line);
+    std::string_view end = Word(line);
+    Word(line);  // the score
+    answer.load = Report(line);
+    answer.value = frame.substr(line_end + 1);
+    if (end == "served") {
+      answer.cause = core::Cause::kServed;
+    } else if (end == "broke") {
+      answer.cause = core::Cause::kBroke;
+    } else if (end == "skipped") {
+      answer.cause = core::Cause::kSkipped;
+    } else {
+      return false;
+    }
+    out.push_back(std::move(answer));
+    return true;
+  }
+
+  std::vector<double> Report(std::string_view text) const {
+    std::vector<double> load;
+    if (text.empty() || text == "-") return load;
+    load.assign(load_names_.size(), 0);
+    while (!text.empty()) {
+      std::string_view pair = Word(text, ',');
+      std::string_view name = Known(Word(pair, '='));
+      auto found = std::ranges::find(load_names_, name);
+      if (found == load_names_.end()) continue;
+      std::from_chars(pair.data(), pair.data() + pair.size(),
+                      load[static_cast<std::size_t>(found - load_names_.begin())]);
+    }
+    return load;
+  }
+
+  const std::vector<std::string>& load_names_;
+};
+
+}  // namespace
+
+std::string FrameDialect::Id(const core::AttemptOrder& order) const {
+  return fmt::format("{}.{}", order.payload->call_id, order.shard);
+}
+
+std::string FrameDialect::Ask(const core::AttemptOrder& order, const std::string&,
+                              core::Micros wait_us) const {
+  std::string list = fmt::format("d={}", std::max<core::Micros>(1, wait_us / 1000));
+  if (!order.payload->dedup_key.empty()) list += ",k=" + order.payload->dedup_key;
+  const std::string& text = order.payload->statement;
+  return Frame('q', fmt::format("{} {} {} {}\n{}", Id(order), order.shard, list, text.size(), text));
+}
+
+std::string FrameDialect::GiveUp(const std::string& id) const { return Frame('c', id); }
+
+std::unique_ptr<net::AnswerReader> FrameDialect::Reader() const {
+  return std::make_unique<FrameReader>(load_names_);
+}
+
+}  // namespace liftrudder::platform
--- /dev/null
+++ b/src/platform/frames.h
@@ -0,0 +1,28 @@
+// The platform's frames: a length of four bytes (least significant first), a letter, and the rest.
+#ifndef LIFTRUDDER_PLATFORM_FRAMES_H_
+#define LIFTRUDDER_PLATFORM_FRAMES_H_
+
+#include <string>
+#include <vector>
+
+#include "net/holder_links.h"
+
+namespace liftrudder::platform {
+
+class FrameDialect : public net::Dialect {
+ public:
+  explicit FrameDialect(std::vector<std::string> load_names) : load_names_(std::move(load_names)) {}
+
+  std::string Id(const core::AttemptOrder& order) const override;
+  std::string Ask(const core::AttemptOrder& order, const std::string& holder,
+                  core::Micros wait_us) const override;
+  std::string GiveUp(const std::string& id) const override;
+  std::unique_ptr<net::AnswerReader> Reader() const override;
+
+ private:
+  std::vector<std::string> load_names_;
+};
+
+}  // namespace liftrudder::platform
+
+#endif  // LIFTRUDDER_PLATFORM_FRAMES_H_
--- /dev/null
+++ b/src/platform/front.h
@@ -0,0 +1,35 @@
+// The platform's thin front: one POST a query, JSON in and out.
+#ifndef LIFTRUDDER_PLATFORM_FRONT_H_
+#define LIFTRUDDER_PLATFORM_FRONT_H_
+
+#include "config/config.h"
+#include "core/core.h"
+#include "net/server.h"
+
+namespace liftrudder::platform {
+
+class Front : public net::Handler {
+ public:
+  Front(const config::Config& config, core::Core& core, const core::Clock& clock,
+        metrics::Counters& counters)
+      : config_(config), core_(core), clock_(clock), counters_(counters) {}
+
+  std::optional<net::HttpResponse> Handle(const net::HttpMessage& request,
+                                          const net::Exchange& exchange) override;
+  net::HttpResponse Malformed() override;
+  net::HttpResponse Overloaded() override;
+
+ private:
+  std::optional<net::HttpResponse> Query(const net::HttpMessage& request, const net::Exchange& exchange);
+  // Nothing when the request is not one; `statement` and key stay as they came.
+  std::optional<core::QueryRequest> Read(const net::HttpMessage& request, core::Micros received_us) const;
+
+  const config::Config& config_;
+  core::Core& core_;
+  const core::Clock& clock_;
+  metrics::Counters& counters_;
+};
+
+}  // namespace liftrudder::platform
+
+#endif  // LIFTRUDDER_PLATFORM_FRONT_H_
