Scenario tests on sockets, and the search API's front on the same core

Eleven scenarios start the program and speak to it as clients, holders and discovery: whole and partial answers, resends after skipped and refused connections, drains, silence, resets, a client that leaves, admission, malformed input and SIGTERM.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,8 @@
 #include "log/log.h"
 #include "net/holder_links.h"
 #include "net/server.h"
+#include "opensearch/front.h"
+#include "opensearch/holders.h"
 #include "platform/discovery.h"
 #include "platform/frames.h"
 #include "platform/front.h"
@@ -41,13 +43,18 @@
   }
 }
 
-void Serve(const lr::config::Config& config, const sigset_t& signals) {
+// `options` is null on the platform; elsewhere clients and holders are spoken to in the search API.
+void Serve(const lr::config::Config& config, const lr::opensearch::Options* options,
+           const sigset_t& signals) {
   lr::metrics::Counters counters;
   lr::net::SteadyClock clock;
   lr::core::Directory directory(config.settings);
   lr::core::Core core(config.settings, config.seed, clock, directory, counters);
-  lr::platform::FrameDialect dialect(config.load_names);
-  lr::net::LinkLimits limits{config.connect_timeout_us, config.idle_close_us, config.streams_per_connection,
+  lr::platform::FrameDialect frames(config.load_names);
+  lr::opensearch::SearchDialect searches;
+  const lr::net::Dialect& dialect = options == nullptr ? static_cast<const lr::net::Dialect&>(frames) : searches;
+  lr::net::LinkLimits limits{config.connect_timeout_us, config.idle_close_us,
+                             options == nullptr ? config.streams_per_connection : 1,
                              config.budget.holder_connections};
   auto links = std::make_unique<lr::net::HolderLinks>(
       dialect, directory, clock, limits, counters,
@@ -56,12 +63,18 @@
   if (auto news = directory.Apply(config.known, clock.Now())) core.Post(std::move(*news));
   lr::net::Thread core_thread([&core] { core.Run(); });
   {
-    lr::platform::DiscoveryWatch watch(config, directory, core, clock);
-    lr::platform::Front front(config, core, clock, counters);
+    std::optional<lr::platform::DiscoveryWatch> watch;
+    if (!config.discovery.empty()) watch.emplace(config, directory, core, clock);
+    std::unique_ptr<lr::net::Handler> front;
+    if (options == nullptr) {
+      front = std::make_unique<lr::platform::Front>(config, core, clock, counters);
+    } else {
+      front = std::make_unique<lr::opensearch::Front>(config, *options, core, clock, counters);
+    }
     lr::net::Fd listener = lr::net::Listen(config.listen);
     if (!listener.Valid()) throw std::runtime_error("cannot listen on " + config.listen);
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
-    lr::net::Server server(std::move(listener), front, clock, counters, config.budget.client_connections);
+    lr::net::Server server(std::move(listener), *front, clock, counters, config.budget.client_connections);
     WaitForEnd(signals, counters);
     lr::log::Info("told to end; {} queries are open", core.Open());
     server.Drain();
@@ -78,12 +91,20 @@
 
 }  // namespace
 
-int main() try {
+int main(int argc, char** argv) try {
   sigset_t signals = Signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  if (argc == 3 && std::string_view(argv[1]) == "--opensearch") {
+    std::string text = lr::config::ReadFile(argv[2]);
+    lr::config::Config config = lr::config::Parse(text);
+    lr::opensearch::Options options = lr::opensearch::ParseOptions(text, config);
+    Serve(config, &options, signals);
+    return 0;
+  }
+  if (argc != 1) throw std::runtime_error("usage: liftrudder [--opensearch FILE]");
   const char* path = std::getenv("BALANCER_CONFIG");
   if (path == nullptr) throw std::runtime_error("BALANCER_CONFIG names no configuration");
-  Serve(lr::config::Parse(lr::config::ReadFile(path)), signals);
+  Serve(lr::config::Parse(lr::config::ReadFile(path)), nullptr, signals);
   return 0;
 } catch (const std::exception& error) {
   lr::log::Error("{}", error.what());
--- /dev/null
+++ b/src/opensearch/front.cpp
@@ -0,0 +1,311 @@
+#include "opensearch/front.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <iterator>
+
+#include "net/json.h"
+#include "opensearch/holders.h"
+
+namespace liftrudder::opensearch {
+namespace {
+
+namespace json = net::json;
+
+constexpr core::Micros kLastMoment = 5'000;    // before the client's time is up, should the core be busy
+constexpr core::Micros kAimSlack = 50'000;     // an answer in part this near the aim was cut by time
+constexpr core::Micros kBusyRetryUs = 1'000'000;
+constexpr std::size_t kMaxSearches = 32;       // in one _msearch
+
+std::vector<std::string> Steps(std::string_view path) {
+  std::vector<std::string> out;
+  while (!path.empty()) {
+    path.remove_prefix(1);
+    std::string_view step = path.substr(0, path.find('/'));
+    if (!step.empty()) out.push_back(Unescape(step));
+    path.remove_prefix(step.size());
+  }
+  return out;
+}
+
+}  // namespace
+
+Front::Front(const config::Config& config, const Options& options, core::Core& core,
+             const core::Clock& clock, metrics::Counters& counters)
+    : config_(config),
+      options_(options),
+      core_(core),
+      clock_(clock),
+      counters_(counters),
+      scrolls_(options, clock, config.seed) {}
+
+net::HttpResponse Front::Malformed() {
+  return ErrorResponse({400, "parsing_exception", "the request cannot be read", 0});
+}
+net::HttpResponse Front::Overloaded() {
+  ApiError error = Unanswered("too many connections");
+  error.retry_after_us = kBusyRetryUs;
+  return ErrorResponse(error);
+}
+
+std::optional<net::HttpResponse> Front::Handle(const net::HttpMessage& request,
+                                               const net::Exchange& exchange) {
+  net::HttpResponse out;
+  std::string_view path = request.Path();
+  if (path == "/-/ready" && exchange.draining) return ErrorResponse(Unanswered("draining"));
+  if (path == "/-/ready" || path == "/-/healthy") return out;
+  if (path == "/-/metrics") {
+    out.type = "text/plain";
+    out.body = counters_.Text();
+    return out;
+  }
+  Result result = Route(request, exchange);
+  if (std::holds_alternative<Gone>(result)) return std::nullopt;
+  if (const auto* error = std::get_if<ApiError>(&result)) {
+    if (error->status == 400) counters_.malformed.Add();
+    return ErrorResponse(*error);
+  }
+  out.body = std::move(std::get<std::string>(result));
+  return out;
+}
+
+Front::Result Front::Route(const net::HttpMessage& request, const net::Exchange& exchange) {
+  std::vector<std::string> steps = Steps(request.Path());
+  bool reads = request.method == "GET" || request.method == "POST";
+  if (steps.size() == 2 && steps[0] == "_search" && steps[1] == "scroll") {
+    if (request.method == "DELETE") return DropScroll(request);
+    if (reads) return DoScroll(request, exchange);
+  }
+  if (reads && steps.size() == 2 && steps[1] == "_search") return DoSearch(steps[0], request, exchange);
+  if (reads && steps.size() == 2 && steps[1] == "_count") return DoCount(steps[0], request, exchange);
+  if (reads && steps.size() == 2 && steps[1] == "_msearch") return DoMany(steps[0], request, exchange);
+  if (reads && steps.size() == 1 && steps[0] == "_msearch") return DoMany("", request, exchange);
+  return BadRequest(fmt::format("[{} {}] is not supported", request.method, request.Path()));
+}
+
+std::optional<ApiError> Front::Locate(const std::string& index) const {
+  if (index.find_first_of(",*") != std::string::npos || index == "_all")
+    return BadRequest("a search of several indices is not supported; name one");
+  if (!options_.indices.contains(index)) return NoSuchIndex(index);
+  return std::nullopt;
+}
+
+Front::Asked Front::Ask(const IndexOptions& index, std::string target, std::string body, bool count,
+                        bool whole, const net::HttpMessage& request, const net::Exchange& exchange) {
+  core::QueryRequest query;
+  query.class_index = whole ? index.whole_class_index : index.class_index;
+  const auto& cls = config_.settings.classes[static_cast<std::size_t>(query.class_index)];
+  core::Micros patience_us = cls.give_up_us;
+  if (const std::string* budget = request.Header("X-Budget")) {
+    double seconds = json::Number(*budget).value_or(0);
+    patience_us = std::min(patience_us, static_cast<core::Micros>(std::clamp(seconds, 0.0, 3600.0) * 1e6));
+  }
+  query.deadline_us = exchange.received_us + patience_us;
+  query.parts = index.parts;
+  core::Payload payload;
+  payload.call_id = fmt::format("{}{:x}-{}", count ? kCountMark : 's', config_.seed, ++asked_);
+  payload.target = std::move(target);
+  payload.statement = std::move(body);
+  query.payload = std::make_shared<const core::Payload>(std::move(payload));
+  Asked asked;
+  asked.reply = std::make_shared<net::WaitingReply>(exchange.waker);
+  asked.deadline_us = query.deadline_us;
+  asked.aim_us = exchange.received_us + cls.aim_us;
+  asked.index = &index;
+  asked.whole = whole;
+  asked.id = core_.Admit(std::move(query), asked.reply);
+  return asked;
+}
+
+Front::Came Front::Await(const Asked& asked, const net::Exchange& exchange) {
+  if (!asked.id) {
+    ApiError error = Unanswered("too many queries are open");
+    error.retry_after_us = kBusyRetryUs;
+    return error;
+  }
+  switch (asked.reply->Wait(exchange.client, clock_, asked.deadline_us - kLastMoment)) {
+    case net::WaitingReply::End::kGone:
+      core_.Post(core::Hangup{*asked.id});
+      return Gone{};
+    case net::WaitingReply::End::kLate:
+      core_.Post(core::Hangup{*asked.id});
+      counters_.late.Add();
+      return OutOfTime();
+    case net::WaitingReply::End::kAnswered:
+      break;
+  }
+  core::FinalAnswer& answer = asked.reply->answer();
+  if (answer.verdict == core::Verdict::kRefused) return Busy(answer.retry_after_us);
+  if (answer.verdict == core::Verdict::kFailed) {
+    bool late = clock_.Now() + kAimSlack >= asked.deadline_us;
+    return late ? OutOfTime() : Unanswered("too few shards answered");
+  }
+  if (asked.whole && !answer.full) return Unanswered("not all shards answered, and a part was not allowed");
+  return std::move(answer);
+}
+
+Coming Front::HowItCame(const Asked& asked, const core::FinalAnswer& answer,
+                        const net::Exchange& exchange) const {
+  core::Micros now = clock_.Now();
+  return {now - exchange.received_us, !answer.full && now + kAimSlack >= asked.aim_us, &asked.index->parts};
+}
+
+Front::Asked Front::AskSearch(const std::string& index, const Search& search,
+                              const net::HttpMessage& request, const net::Exchange& exchange) {
+  std::string target = "/" + index + "/_search";
+  if (!search.parameters.empty()) target += "?" + search.parameters.substr(1);
+  // A page of a scroll with a shard missing would lose that shard's hits for good.
+  bool whole = !search.allow_partial || search.keep_alive_us > 0;
+  return Ask(options_.indices.at(index), target, ShardBody(search), false, whole, request, exchange);
+}
+
+Front::Result Front::FinishSearch(const std::string& index, const Search& search, const Asked& asked,
+                                  const net::Exchange& exchange, const std::string& scroll_id) {
+  Came came = Await(asked, exchange);
+  if (auto* error = std::get_if<ApiError>(&came)) return std::move(*error);
+  if (std::holds_alternative<Gone>(came)) return Gone{};
+  const auto& answer = std::get<core::FinalAnswer>(came);
+  auto merged = MergeHits(search, answer, HowItCame(asked, answer, exchange));
+  if (!merged) return ApiError{500, "search_phase_execution_exception", "hits came without their sort values", 0};
+  if (search.keep_alive_us == 0) return merged->body + "}";
+  Cursor next{index, search, merged->hits == 0};
+  if (!merged->last_sort.empty()) next.search.search_after = merged->last_sort;
+  auto id = scroll_id.empty() ? scrolls_.Open(std::move(next)) : scrolls_.Advance(scroll_id, std::move(next));
+  if (!id) {
+    return scroll_id.empty() ? ApiError{429, "rejected_execution_exception", "too many scrolls are open",
+                                        kBusyRetryUs}
+                             : ApiError{404, "search_context_missing_exception", "the scroll has ended", 0};
+  }
+  return fmt::format("{},\"_scroll_id\":{}}}", merged->body, json::Quote(*id));
+}
+
+Front::Result Front::DoSearch(const std::string& index, const net::HttpMessage& request,
+                              const net::Exchange& exchange) {
+  if (auto error = Locate(index)) return *error;
+  Search search;
+  if (auto error = ReadSearch(request, request.body, options_, search)) return *error;
+  return FinishSearch(index, search, AskSearch(index, search, request, exchange), exchange);
+}
+
+Front::Result Front::DoCount(const std::string& index, const net::HttpMessage& request,
+                             const net::Exchange& exchange) {
+  if (auto error = Locate(index)) return *error;
+  bool query_only = true;
+  bool ok = request.body.empty() || json::Members(request.body, [&](std::string_view name, std::string_view) {
+              query_only = query_only && name == "query";
+              return true;
+            });
+  if (!ok) return ApiError{400, "parsing_exception", "the body is not a JSON object", 0};
+  if (!query_only) return BadRequest("only [query] is supported in a count");
+  auto mark = request.target.find('?');
+  std::string target = "/" + index + "/_count";
+  if (mark != std::string::npos) {
+    if (!request.Parameter("q")) return BadRequest("only [q] is supported beside the body of a count");
+    target += "?q=" + std::string(*request.Parameter("q"));
+  }
+  // A count over a part of the shards is wrong rather than partial.
+  Asked asked = Ask(options_.indices.at(index), target, request.body, true, true, request, exchange);
+  Came came = Await(asked, exchange);
+  if (auto* error = std::get_if<ApiError>(&came)) return std::move(*error);
+  if (std::holds_alternative<Gone>(came)) return Gone{};
+  const auto& answer = std::get<core::FinalAnswer>(came);
+  return MergeCounts(answer, HowItCame(asked, answer, exchange));
+}
+
+Front::Result Front::DoScroll(const net::HttpMessage& request, const net::Exchange& exchange) {
+  std::string id, keep;
+  if (auto value = request.Parameter("scroll_id")) id = Unescape(*value);
+  if (auto value = request.Parameter("scroll")) keep = Unescape(*value);
+  if (!request.body.empty()) {
+    if (!json::Valid(request.body)) return ApiError{400, "parsing_exception", "the body is not JSON", 0};
+    if (auto value = json::String(json::Get(request.body, "scroll_id"))) id = *value;
+    if (auto value = json::String(json::Get(request.body, "scroll"))) keep = *value;
+  }
+  if (id.empty()) return BadRequest("[scroll_id] is missing");
+  auto span = keep.empty() ? std::optional<core::Micros>(0) : ReadSpan(keep);
+  if (!span) return BadRequest("[scroll] is not a time such as 1m");
+  auto cursor = scrolls_.Find(id, *span);
+  if (!cursor) {
+    return ApiError{404, "search_context_missing_exception", "no search context found for id [" + id + "]",
+                    0};
+  }
+  return FinishSearch(cursor->index, cursor->search,
+                      AskSearch(cursor->index, cursor->search, request, exchange), exchange, id);
+}
+
+Front::Result Front::DropScroll(const net::HttpMessage& request) {
+  std::vector<std::string> ids;
+  std::string_view given = json::Get(request.body, "scroll_id");
+  if (auto one = json::String(given)) ids.push_back(*one);
+  json::Elements(given, [&ids](std::string_view value) {
+    ids.push_back(json::String(value).value_or(""));
+    return true;
+  });
+  if (ids.empty()) return BadRequest("[scroll_id] is missing");
+  std::size_t freed = 0;
+  for (const std::string& id : ids) freed += id == "_all" ? scrolls_.DropAll() : scrolls_.Drop(id) ? 1 : 0;
+  return fmt::format("{{\"succeeded\":true,\"num_freed\":{}}}", freed);
+}
+
+Front::Result Front::DoMany(const std::string& index, const net::HttpMessage& request,
+                            const net::Exchange& exchange) {
+  struct One {
+    std::string index;
+    Search search;
+    std::optional<Asked> asked;
+    std::optional<ApiError> error;
+  };
+  std::deque<One> all;
+  std::vector<std::string_view> lines;
+  std::string_view rest = request.body;
+  while (!rest.empty()) {
+    std::string_view line = rest.substr(0, rest.find('\n'));
+    rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+    lines.push_back(line.ends_with('\r') ? line.substr(0, line.size() - 1) : line);
+  }
+  while (!lines.empty() && lines.back().empty()) lines.pop_back();
+  if (lines.empty() || lines.size() % 2 != 0 || request.body.back() != '\n')
+    return BadRequest("a multi search is pairs of lines, each ended by a newline");
+  if (lines.size() / 2 > kMaxSearches) return BadRequest(fmt::format("at most {} searches", kMaxSearches));
+  if (request.target.find('?') != std::string::npos) return BadRequest("parameters of _msearch are not supported");
+  net::HttpMessage bare;  // the searches share the request's headers, and have no parameters
+  bare.headers = request.headers;
+  // All are asked before the first is waited for.
+  for (std::size_t i = 0; i < lines.size(); i += 2) {
+    One& one = all.emplace_back();
+    one.index = index;
+    bool header = lines[i].empty() || json::Members(lines[i], [&one](std::string_view name, std::string_view value) {
+                    if (name != "index") return false;
+                    one.index = json::String(value).value_or("");
+                    return true;
+                  });
+    if (!header) one.error = BadRequest("only [index] is supported in the header of a search");
+    if (!one.error) one.error = Locate(one.index);
+    if (!one.error) one.error = ReadSearch(bare, lines[i + 1], options_, one.search);
+    if (!one.error) one.asked = AskSearch(one.index, one.search, bare, exchange);
+  }
+  std::string out = fmt::format("{{\"took\":{},\"responses\":[", 0);
+  for (One& one : all) {
+    Result result = one.error ? Result(*one.error) : FinishSearch(one.index, one.search, *one.asked, exchange);
+    if (std::holds_alternative<Gone>(result)) {
+      for (One& left : all) {
+        if (left.asked && left.asked->id) core_.Post(core::Hangup{*left.asked->id});
+      }
+      return Gone{};
+    }
+    if (&one != &all.front()) out += ',';
+    if (auto* error = std::get_if<ApiError>(&result)) {
+      out += ErrorBody(*error);
+    } else {
+      std::string& body = std::get<std::string>(result);
+      out.append(body, 0, body.size() - 1).append(",\"status\":200}");
+    }
+  }
+  core::Micros took_us = clock_.Now() - exchange.received_us;
+  out.replace(0, std::string_view("{\"took\":0").size(), fmt::format("{{\"took\":{}", took_us / 1000));
+  return out + "]}";
+}
+
+}  // namespace liftrudder::opensearch
--- /dev/null
+++ b/src/opensearch/holders.cpp
@@ -0,0 +1,71 @@
+#include "opensearch/holders.h"
+
+#include <fmt/format.h>
+
+#include "net/http.h"
+#include "opensearch/merge.h"
+
+namespace liftrudder::opensearch {
+namespace {
+
+class SearchReader : public net::AnswerReader {
+ public:
+  bool Take(std::string& in, const std::string& oldest, std::vector<net::HolderAnswer>& out) override {
+    if (oldest.empty()) return false;  // nobody asked
+    switch (parser_.Feed(in)) {
+      case net::HttpParser::State::kBad:
+        // It has answered, if badly: an error of this holder, not a lost connection.
+        out.push_back({oldest, core::Cause::kBroke, {}, {}});
+        return false;
+      case net::HttpParser::State::kDone:
+        return Finish(oldest, out);
+      default:
+        return true;
+    }
+  }
+
+  void End(const std::string& oldest, std::vector<net::HolderAnswer>& out) override {
+    if (!oldest.empty() && parser_.End() == net::HttpParser::State::kDone) Finish(oldest, out);
+  }
+
+ private:
+  bool Finish(const std::string& oldest, std::vector<net::HolderAnswer>& out) {
+    net::HttpMessage message = std::move(parser_.message());
+    parser_ = net::HttpParser(net::HttpParser::Kind::kResponse);
+    net::HolderAnswer answer;
+    answer.id = oldest;
+    bool good = message.status >= 200 && message.status < 300;
+    if (message.status == 429) {
+      answer.cause = core::Cause::kSkipped;  // turned away from a full queue, by the API's word never begun
+    } else if (good && Served(message.body, oldest.front() == kCountMark)) {
+      answer.cause = core::Cause::kServed;
+      answer.value = std::move(message.body);
+    } else {
+      answer.cause = core::Cause::kBroke;
+    }
+    out.push_back(std::move(answer));
+    return !message.close;
+  }
+
+  net::HttpParser parser_{net::HttpParser::Kind::kResponse};
+};
+
+}  // namespace
+
+std::string SearchDialect::Id(const core::AttemptOrder& order) const {
+  return fmt::format("{}.{}", order.payload->call_id, order.shard);
+}
+
+std::string SearchDialect::Ask(const core::AttemptOrder& order, const std::string& holder,
+                               core::Micros wait_us) const {
+  const core::Payload& payload = *order.payload;
+  return fmt::format(
+      "POST {}{}preference=_shards:{} HTTP/1.1\r\nHost: {}\r\nX-Opaque-Id: {}\r\nX-Budget: {:.3f}\r\n"
+      "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
+      payload.target, payload.target.find('?') == std::string::npos ? '?' : '&', order.shard, holder,
+      payload.call_id, static_cast<double>(wait_us) / 1e6, payload.statement.size(), payload.statement);
+}
+
+std::unique_ptr<net::AnswerReader> SearchDialect::Reader() const { return std::make_unique<SearchReader>(); }
+
+}  // namespace liftrudder::opensearch
--- /dev/null
+++ b/src/opensearch/options.h
@@ -0,0 +1,33 @@
+// What the file that turns this front on says beside the gatherer's own configuration.
+#ifndef LIFTRUDDER_OPENSEARCH_OPTIONS_H_
+#define LIFTRUDDER_OPENSEARCH_OPTIONS_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/config.h"
+
+namespace liftrudder::opensearch {
+
+struct IndexOptions {
+  int class_index = 0;
+  int whole_class_index = 0;  // for scrolls and where partial answers are not allowed
+  std::vector<core::PartRequest> parts;
+};
+
+struct Options {
+  std::map<std::string, IndexOptions, std::less<>> indices;
+  std::int64_t result_window = 1000;
+  std::size_t max_scrolls = 64;
+  core::Micros max_keep_alive_us = 300'000'000;
+  std::string tiebreak = "_id";  // a field that no two documents of an index share
+};
+
+// Throws std::runtime_error saying what is wrong.
+Options ParseOptions(std::string_view text, const config::Config& config);
+
+}  // namespace liftrudder::opensearch
+
+#endif  // LIFTRUDDER_OPENSEARCH_OPTIONS_H_
--- /dev/null
+++ b/src/opensearch/scroll.h
@@ -0,0 +1,53 @@
+// Deep paging: cursors that hold a place in the order, never a holder. Bounded in number, and they expire.
+#ifndef LIFTRUDDER_OPENSEARCH_SCROLL_H_
+#define LIFTRUDDER_OPENSEARCH_SCROLL_H_
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "opensearch/search.h"
+
+namespace liftrudder::opensearch {
+
+struct Cursor {
+  std::string index;
+  Search search;  // search_after is the place where the next page begins
+  bool ended = false;
+};
+
+class Scrolls {
+ public:
+  Scrolls(const Options& options, const core::Clock& clock, std::uint64_t seed)
+      : options_(options), clock_(clock), seed_(seed) {}
+
+  // The id under which the first page was given; nothing when all cursors are taken.
+  std::optional<std::string> Open(Cursor next);
+  // Where the page named by this id begins. An id stays good until the page after it has been given, so a
+  // client that missed an answer may ask again and neither loses nor doubles a hit.
+  std::optional<Cursor> Find(const std::string& id, core::Micros keep_alive_us);
+  // A page was given: the id for the next.
+  std::optional<std::string> Advance(const std::string& id, Cursor next);
+  bool Drop(const std::string& id);
+  std::size_t DropAll();
+
+ private:
+  struct Entry {
+    std::map<std::uint64_t, Cursor> pages;  // the newest two
+    core::Micros keep_alive_us = 0;
+    core::Micros expires_us = 0;
+  };
+  void Expire();
+
+  const Options& options_;
+  const core::Clock& clock_;
+  const std::uint64_t seed_;
+  std::mutex mutex_;
+  std::map<std::string, Entry> entries_;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace liftrudder::opensearch
+
+#endif  // LIFTRUDDER_OPENSEARCH_SCROLL_H_
--- /dev/null
+++ b/tests/scenario.h
@@ -0,0 +1,31 @@
+// A scenario is lines of send, expect, close and wait, played against the started program over sockets.
+//
+//   set PATH JSON            change the program's configuration before it starts (a JSON pointer)
+//   holder NAME CELL [STATE] a stand-in holder; STATE: ready, or dead (refuses connections)
+//   start platform|search    start the program and wait until it is ready
+//   query C ID CLASS BUDGET SHARDS [KEY]   client C posts a platform query for shards such as 0,1
+//   http C METHOD TARGET [BODY]            client C sends any request with a body's length
+//   send X TEXT              bytes on X's connection, \r \n \xNN understood; on a holder: one frame
+//   reply X STATUS BODY      a holder answers the request it took last, in HTTP
+//   list NAME STATE          discovery tells of a holder: ready, draining or gone
+//   expect X GLOB            the next message at X matches (a holder's name, a client's, or any: the holder
+//                            that gets one next, called `it` from then on, and the next other one `other`)
+//   ended X                  X's connection has been closed by the program
+//   quiet X                  nothing has come at X that was not expected
+//   keep NAME PREFIX SUFFIX  what stands between these in the last message, later written $NAME
+//   close X                  X's connections end; `reset X` with a reset; `dead X` and the listener too
+//   signal                   SIGTERM to the program;  wait exit: it has ended with 0
+//   until GLOB               the program's counters match
+#ifndef LIFTRUDDER_TESTS_SCENARIO_H_
+#define LIFTRUDDER_TESTS_SCENARIO_H_
+
+#include <string>
+
+namespace liftrudder::tests {
+
+// Plays it; throws std::runtime_error naming the line that did not hold.
+void Play(const std::string& program, const std::string& scenario);
+
+}  // namespace liftrudder::tests
+
+#endif  // LIFTRUDDER_TESTS_SCENARIO_H_
--- /dev/null
+++ b/tests/scenarios_test.cpp
@@ -0,0 +1,14 @@
+// One scenario, named by the environment, so that each is a test of its own.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+#include "config/config.h"
+#include "scenario.h"
+
+TEST_CASE("scenario") {
+  const char* path = std::getenv("SCENARIO");
+  REQUIRE(path != nullptr);
+  REQUIRE_NOTHROW(liftrudder::tests::Play(LIFTRUDDER_PROGRAM, liftrudder::config::ReadFile(path)));
+}
