--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -15,7 +15,7 @@
 namespace json = net::json;
 
 constexpr core::Micros kLastMoment = 5'000;    // before the client's time is up, should the core be busy
-constexpr core::Micros kAimSlack = 50'000;     // an answer in part this near the aim was cut by time
+constexpr core::Micros kAimSlack = 50'000;     // an end this near the aim or deadline was cut by time
 constexpr core::Micros kBusyRetryUs = 1'000'000;
 constexpr std::size_t kMaxSearches = 32;       // in one _msearch
 
@@ -137,11 +137,11 @@
       break;
   }
   core::FinalAnswer& answer = asked.reply->answer();
+  // Given up with the time over: to this API's clients that is a time-out, not a refusal.
+  bool over = clock_.Now() + kAimSlack >= asked.deadline_us;
+  if (answer.verdict != core::Verdict::kAnswered && over) return OutOfTime();
   if (answer.verdict == core::Verdict::kRefused) return Busy(answer.retry_after_us);
-  if (answer.verdict == core::Verdict::kFailed) {
-    bool late = clock_.Now() + kAimSlack >= asked.deadline_us;
-    return late ? OutOfTime() : Unanswered("too few shards answered");
-  }
+  if (answer.verdict == core::Verdict::kFailed) return Unanswered("too few shards answered");
   if (asked.whole && !answer.full) return Unanswered("not all shards answered, and a part was not allowed");
   return std::move(answer);
 }
--- /dev/null
+++ b/tests/parts_test.cpp
@@ -0,0 +1,129 @@
+// Small tests of parts that need no program and no socket.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
+
+#include "core/book.h"
+#include "core/directory.h"
+#include "net/http.h"
+#include "net/json.h"
+#include "opensearch/merge.h"
+
+using namespace liftrudder;
+using core::Cause;
+using core::OutcomeCode;
+using core::Progress;
+using net::HttpParser;
+
+TEST_CASE("whether an attempt may have run follows from how far it had come") {
+  CHECK(core::OutcomeOf(Progress::kNotConnected, Cause::kConnectionLost) == OutcomeCode::kConnectFailed);
+  CHECK(core::OutcomeOf(Progress::kPartlyWritten, Cause::kConnectionLost) == OutcomeCode::kConnectFailed);
+  CHECK(core::OutcomeOf(Progress::kWhollyWritten, Cause::kConnectionLost) == OutcomeCode::kReset);
+  CHECK(core::OutcomeOf(Progress::kNotConnected, Cause::kWithdrawn) == OutcomeCode::kMoot);
+  CHECK(core::OutcomeOf(Progress::kPartlyWritten, Cause::kWithdrawn) == OutcomeCode::kCancelled);
+  CHECK(core::OutcomeOf(Progress::kNotConnected, Cause::kExpired) == OutcomeCode::kMoot);
+  CHECK(core::OutcomeOf(Progress::kWhollyWritten, Cause::kExpired) == OutcomeCode::kTimeout);
+}
+
+TEST_CASE("an attempt ends once") {
+  core::Book book;
+  core::QueryRequest request;
+  request.parts = {{0, 1, 0, 0}};
+  book.Open(5, request, nullptr);
+  CHECK(book.Begin(6, *book.Part(6), {{1, 1}, 10, 100, true}) == 0);
+  CHECK(book.NextExpiry() == 100);
+  auto ended = book.End({{6, 0}, Progress::kAnswering, Cause::kServed, {}, "v"}, 30);
+  REQUIRE(ended);
+  CHECK(ended->spent_us == 20);
+  CHECK(ended->part_done);
+  CHECK_FALSE(book.End({{6, 0}, Progress::kWhollyWritten, Cause::kExpired, {}, ""}, 40));
+  CHECK(book.Expired(1000).empty());
+  CHECK(book.Close(5).at(0).value == "v");
+  CHECK(book.Part(6) == nullptr);
+}
+
+TEST_CASE("the holder list takes versions in order and remembers when a drain was told") {
+  tinsail::Settings settings;
+  settings.stop_sending_within_us = 1'000'000;
+  core::Directory directory(settings);
+  core::HolderEntry a{"a", "127.0.0.1:1", {}}, b{"b", "127.0.0.1:2", {}};
+  auto known = directory.Apply({4, tinsail::ListKind::kCached, {a, b}}, 10);
+  REQUIRE(known);
+  auto id = known->replicas[0].id;
+  a.told.availability = tinsail::Availability::kDraining;
+  CHECK_FALSE(directory.Apply({4, tinsail::ListKind::kDelta, {a}}, 20));
+  REQUIRE(directory.Apply({5, tinsail::ListKind::kDelta, {a}}, 30));
+  auto stop = directory.Find(id).stop_sending_us;
+  CHECK(stop > 30);
+  CHECK(stop <= 1'000'030);
+  a.told.availability = tinsail::Availability::kGone;
+  REQUIRE(directory.Apply({6, tinsail::ListKind::kDelta, {a}}, 500'000));
+  CHECK(directory.Find(id).stop_sending_us == stop);  // the first telling counts
+  a.addr = "127.0.0.1:9";
+  a.told.availability = tinsail::Availability::kReady;
+  CHECK(directory.Apply({7, tinsail::ListKind::kFull, {a}}, 600'000)->replicas[0].id == id);
+  CHECK(directory.Find(id).addr == "127.0.0.1:9");
+  CHECK(directory.Find(known->replicas[1].id).stop_sending_us > 0);  // left out of a whole list: gone
+}
+
+TEST_CASE("HTTP is read whole however it is cut, and strictly") {
+  std::string text = "POST /x?a=1&b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e\r\nde\r\n0\r\n\r\n";
+  HttpParser parser(HttpParser::Kind::kRequest);
+  std::string in;
+  for (char c : text) parser.Feed(in += c);
+  CHECK(parser.Feed(in) == HttpParser::State::kDone);
+  CHECK(parser.message().body == "abcde");
+  CHECK(parser.message().Parameter("a") == "1");
+  for (std::string bad : {"GET  / HTTP/1.1\r\n\r\n", "GET / HTTP/2\r\n\r\n", "GET / HTTP/1.1\r\nA : b\r\n\r\n",
+                          "GET / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+                          "GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+                          "GET / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"}) {
+    INFO(bad);
+    CHECK(HttpParser(HttpParser::Kind::kRequest).Feed(bad) == HttpParser::State::kBad);
+  }
+  std::string endless(net::kMaxHeadBytes + 1, 'a');
+  CHECK(HttpParser(HttpParser::Kind::kRequest).Feed(endless) == HttpParser::State::kBad);
+}
+
+TEST_CASE("JSON is scanned strictly and to a bounded depth") {
+  CHECK(net::json::Get(R"( {"a" : [1, {"b":"}"}], "c":-1.5e3} )", "a") == R"([1, {"b":"}"}])");
+  CHECK(net::json::Number(net::json::Get(R"({"c":-1.5e3})", "c")) == -1500);
+  CHECK(net::json::String(R"("\u00e9\ud83d\ude00\n")") == "\xc3\xa9\xf0\x9f\x98\x80\n");
+  for (const char* bad : {"{\"a\":1,}", "[1 2]", "01", "\"\\x\"", "{\"a\" 1}", "tru", "\"a", "[", "1.", "{} x"}) {
+    INFO(bad);
+    CHECK_FALSE(net::json::Valid(bad));
+  }
+  CHECK_FALSE(net::json::Valid(std::string(100'000, '[')));
+}
+
+TEST_CASE("only a sound answer counts as served") {
+  CHECK(opensearch::Served(R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})", false));
+  CHECK(opensearch::Served(R"({"count":0})", true));
+  for (const char* bad :
+       {"", "{}", "[]", R"({"hits":{}})", R"({"hits":[]})", R"({"error":{},"hits":{"hits":[]}})",
+        R"({"timed_out":true,"hits":{"hits":[]}})", R"({"_shards":{"failed":1},"hits":{"hits":[]}})",
+        R"({"count":3})", R"({"hits":{"hits":[]})"}) {
+    INFO(bad);
+    CHECK_FALSE(opensearch::Served(bad, false));
+  }
+}
+
+TEST_CASE("hits merge by key, missing values where asked, ties by shard") {
+  opensearch::Search search;
+  search.sort = {{"", true, false}};
+  auto piece = [](int shard, std::string hits) {
+    return core::Piece{shard, R"({"hits":{"total":2,"hits":[)" + hits + "]}}"};
+  };
+  core::FinalAnswer answer;
+  answer.pieces = {piece(1, R"({"n":"b","sort":[9007199254740993]},{"n":"d","sort":[null]})"),
+                   piece(0, R"({"n":"a","sort":[9007199254740993]},{"n":"c","sort":[9007199254740992]})")};
+  std::vector<core::PartRequest> asked(2);
+  auto merged = opensearch::MergeHits(search, answer, {0, false, &asked});
+  REQUIRE(merged);
+  std::string order;
+  for (std::size_t at = 0; (at = merged->body.find("{\"n\":\"", at)) != std::string::npos; ++at)
+    order += merged->body[at + 6];
+  CHECK(order == "abcd");
+  CHECK(merged->body.find(R"("total":{"value":4,"relation":"eq"})") != std::string::npos);
+  answer.pieces[0] = piece(1, R"({"n":"b"})");
+  CHECK_FALSE(opensearch::MergeHits(search, answer, {0, false, &asked}));
+}
