The SIGTERM scenario waits until the program has taken the signal

Seen once in three runs: /-/ready answered 200 right after the signal, since the request outran it. The program now drains before it says so, and the test waits for that word.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -76,8 +76,8 @@
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
     lr::net::Server server(std::move(listener), *front, clock, counters, config.budget.client_connections);
     WaitForEnd(signals, counters);
-    lr::log::Info("told to end; {} queries are open", core.Open());
     server.Drain();
+    lr::log::Info("told to end; {} queries are open", core.Open());
     Pause(kStillListening);
     server.StopListening();
     while (!server.WaitClosed(kSlice)) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -173,6 +173,7 @@
       Cut(Find(who), verb);
     } else if (verb == "signal") {
       ::kill(child_, SIGTERM);
+      Until([&] { return log_.find("told to end") != std::string::npos; }, "the program heeds no signal");
     } else if (verb == "wait" && who == "exit") {
       WaitExit();
     } else if (verb == "until") {
