--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 
 #include "config/config.h"
 #include "core/core.h"
+#include "dns/update.h"
 #include "log/log.h"
 #include "net/holder_links.h"
 #include "net/server.h"
@@ -43,9 +44,15 @@
   }
 }
 
+lr::net::Fd NeedListener(const std::string& address) {
+  lr::net::Fd listener = lr::net::Listen(address);
+  if (!listener.Valid()) throw std::runtime_error("cannot listen on " + address);
+  return listener;
+}
+
 // `options` is null on the platform; elsewhere clients and holders are spoken to in the search API.
 void Serve(const lr::config::Config& config, const lr::opensearch::Options* options,
-           const sigset_t& signals) {
+           const lr::dns::ZoneOptions& zone, const sigset_t& signals) {
   lr::metrics::Counters counters;
   lr::net::SteadyClock clock;
   lr::core::Directory directory(config.settings);
@@ -60,19 +67,29 @@
       dialect, directory, clock, limits, counters,
       [&core](lr::core::AttemptResult result) { core.Post(std::move(result)); });
   core.Attach(*links);
-  if (auto news = directory.Apply(config.known, clock.Now())) core.Post(std::move(*news));
+  if (zone.file.empty()) {
+    if (auto news = directory.Apply(config.known, clock.Now())) core.Post(std::move(*news));
+  }
   lr::net::Thread core_thread([&core] { core.Run(); });
   {
     std::optional<lr::platform::DiscoveryWatch> watch;
-    if (!config.discovery.empty()) watch.emplace(config, directory, core, clock);
+    std::optional<lr::dns::ZoneSource> holders;
+    if (!zone.file.empty()) {
+      lr::net::Fd updates;
+      if (!zone.update_listen.empty()) updates = NeedListener(zone.update_listen);
+      if (updates.Valid()) lr::log::Info("takes updates at {}", lr::net::LocalAddress(updates));
+      holders.emplace(lr::dns::ParseZone(lr::config::ReadFile(zone.file)), zone.service, std::move(updates),
+                      directory, core, clock);
+    } else if (!config.discovery.empty()) {
+      watch.emplace(config, directory, core, clock);
+    }
     std::unique_ptr<lr::net::Handler> front;
     if (options == nullptr) {
       front = std::make_unique<lr::platform::Front>(config, core, clock, counters);
     } else {
       front = std::make_unique<lr::opensearch::Front>(config, *options, core, clock, counters);
     }
-    lr::net::Fd listener = lr::net::Listen(config.listen);
-    if (!listener.Valid()) throw std::runtime_error("cannot listen on " + config.listen);
+    lr::net::Fd listener = NeedListener(config.listen);
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
     lr::net::Server server(std::move(listener), *front, clock, counters, config.budget.client_connections);
     WaitForEnd(signals, counters);
@@ -98,13 +115,13 @@
     std::string text = lr::config::ReadFile(argv[2]);
     lr::config::Config config = lr::config::Parse(text);
     lr::opensearch::Options options = lr::opensearch::ParseOptions(text, config);
-    Serve(config, &options, signals);
+    Serve(config, &options, lr::dns::ParseZoneOptions(text), signals);
     return 0;
   }
   if (argc != 1) throw std::runtime_error("usage: liftrudder [--opensearch FILE]");
   const char* path = std::getenv("BALANCER_CONFIG");
   if (path == nullptr) throw std::runtime_error("BALANCER_CONFIG names no configuration");
-  Serve(lr::config::Parse(lr::config::ReadFile(path)), nullptr, signals);
+  Serve(lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, signals);
   return 0;
 } catch (const std::exception& error) {
   lr::log::Error("{}", error.what());
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -199,9 +199,11 @@
     return nullptr;
   }
   lock.unlock();
+  Micros from_us = context_.clock.Now();
   Fd fd = Connect(addr, context_.limits.connect_timeout_us);
   lock.lock();
   if (!fd.Valid() || stopping_) {
+    log::Info("holder at {}: no connection after {} us", addr, context_.clock.Now() - from_us);
     context_.connections.fetch_sub(1);
     context_.counters.connects_failed.Add();
     return nullptr;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -4,6 +4,7 @@
 
 #include "core/book.h"
 #include "core/directory.h"
+#include "dns/update.h"
 #include "net/http.h"
 #include "net/json.h"
 #include "opensearch/merge.h"
@@ -127,3 +128,26 @@
   answer.pieces[0] = piece(1, R"({"n":"b"})");
   CHECK_FALSE(opensearch::MergeHits(search, answer, {0, false, &asked}));
 }
+
+TEST_CASE("a zone names holders, and an update is taken whole or not at all") {
+  dns::Zone zone = dns::ParseZone(
+      "$ORIGIN Z.\n@ 60 IN SOA ns root 1 2 3 4 5\n_s SRV 0 1 9200 a ; first\n_s SRV 0 1 9201 b\n"
+      "a A 127.0.0.1\n  TXT \"cell=3\" \"started_ms=7\"\nb A 127.0.0.2\n");
+  auto holders = dns::Holders(zone, "_s.z.");
+  REQUIRE(holders.size() == 1);  // b has no cell
+  CHECK(holders["a.z."].addr == "127.0.0.1:9200");
+  CHECK(holders["a.z."].told.cell == 3);
+  CHECK(holders["a.z."].told.launched_us == 7000);
+  CHECK_THROWS(dns::ParseZone("a A 127.0.0.1\n"));
+  CHECK_THROWS(dns::ParseZone("$ORIGIN z.\n@ SOA ns root ( 1 2 3 4 5\n"));
+  std::string head("\0\1\x28\0\0\1\0\0\0\2\0\0\1z\0\0\6\0\1", 19);
+  std::string gone("\1a\xc0\x0c\0\xff\0\xff\0\0\0\0\0\0", 14);   // all of a.z., its zone's name compressed
+  std::string outside("\1q\0\0\xff\0\xff\0\0\0\0\0\0", 13);
+  auto rcode = [&zone](const std::string& message) { return dns::ApplyUpdate(message, zone).at(3); };
+  CHECK(rcode(head + gone + outside) == 10);
+  CHECK(dns::Holders(zone, "_s.z.").size() == 1);
+  CHECK(rcode(head + gone) == 1);
+  CHECK(rcode(head + std::string("\xc0\x13\0", 3)) == 1);  // a name that points at itself
+  CHECK(rcode(head + gone + gone) == 0);
+  CHECK(dns::Holders(zone, "_s.z.").empty());
+}
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -17,6 +17,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "dns/zone.h"
 #include "net/http.h"
 #include "net/socket.h"
 
@@ -93,7 +94,8 @@
 struct Line {
   Fd fd;
   std::string in;
-  std::unique_ptr<HttpParser> http;  // none: frames
+  std::unique_ptr<HttpParser> http;  // none: frames, or DNS messages
+  bool dns = false;
   bool ended = false;
 };
 
@@ -158,6 +160,10 @@
       response.status = status;
       response.body = rest;
       Write(*holders_.at(Name(who)).last, net::Format(response, false));
+    } else if (verb == "zone") {
+      WriteZone();
+    } else if (verb == "update") {
+      Update(who, rest);
     } else if (verb == "list") {
       Tell(who, rest);
     } else if (verb == "expect") {
@@ -183,6 +189,16 @@
     }
   }
 
+  // However the scenario left it, the program ends when told to, without a crash or a sanitizer's report.
+  void End() {
+    if (child_ <= 0) return;
+    for (auto& [name, peer] : clients_) Cut(peer, "close");
+    ::kill(child_, SIGTERM);
+    WaitExit();
+    Until([&] { return !log_fd_.Valid(); }, "the log does not end");
+    if (log_.find("Sanitizer") != std::string::npos) throw std::runtime_error(log_);
+  }
+
  private:
   std::string Name(const std::string& who) const {
     auto found = aliases_.find(who);
@@ -210,6 +226,46 @@
             {"state", state}, {"weight", 1.0}, {"started_ms", 0}};
   }
 
+  static std::string Port(const Peer& peer) { return peer.addr.substr(peer.addr.find(':') + 1); }
+
+  void WriteZone() {
+    std::string path = folder_ + "/holders.zone";
+    std::ofstream out(path);
+    out << "$ORIGIN z.\n$TTL 30\n@ IN SOA ns root ( 1 2 3 ; serial\n 4 5 )\n";
+    for (const auto& [name, peer] : holders_) {
+      out << "_search._tcp SRV 0 1 " << Port(peer) << " " << name << "\n"
+          << name << " A 127.0.0.1\n TXT \"cell=" << peer.cell << "\"\n";
+    }
+    config_["discovery"] = "";
+    config_["opensearch"]["zone"] = {
+        {"file", path}, {"service", "_search._tcp.z."}, {"update_listen", "127.0.0.1:0"}};
+  }
+
+  void Update(const std::string& who, const std::string& what) {
+    bool add = what.starts_with("add ");
+    std::string name = Name(what.substr(what.find(' ') + 1));
+    const Peer& holder = holders_.at(name);
+    auto two = [](int value) { return std::string{static_cast<char>(value >> 8), static_cast<char>(value & 0xff)}; };
+    auto record = [&](const std::string& owner, int type, const std::string& data) {
+      return *dns::WireName(owner) + two(type) + two(add ? dns::kClassIn : dns::kClassNone) + two(0) + two(0) +
+             two(static_cast<int>(data.size())) + data;
+    };
+    std::string srv = two(0) + two(1) + two(std::stoi(Port(holder))) + *dns::WireName(name + ".z.");
+    std::string all = record("_search._tcp.z.", dns::kTypeSrv, srv);
+    std::string text = "cell=" + std::to_string(holder.cell);
+    text.insert(0, 1, static_cast<char>(text.size()));
+    if (add) all += record(name + ".z.", dns::kTypeA, std::string("\x7f\0\0\1", 4)) + record(name + ".z.", dns::kTypeTxt, text);
+    std::string message = two(77) + two(5 << 11) + two(1) + two(0) + two(add ? 3 : 1) + two(0) + *dns::WireName("z.") +
+                          two(dns::kTypeSoa) + two(dns::kClassIn) + all;
+    Peer& peer = clients_[who];
+    if (peer.lines.empty()) {
+      Line& line = peer.lines.emplace_back();
+      line.dns = true;
+      line.fd = net::Connect(Logged("takes updates at "), 5'000'000);
+    }
+    Write(peer.lines.back(), two(static_cast<int>(message.size())) + message);
+  }
+
   void Tell(const std::string& who, const std::string& state) {
     Until([&] { return !discovery_.lines.empty(); }, "no watch");
     Json line = {{"version", ++version_}, {"full", false}, {"servers", {Entry(Name(who), state)}}};
@@ -236,13 +292,20 @@
     }
     ::close(ends[1]);
     log_fd_ = Fd(ends[0]);
-    // The port is the kernel's choice; the program's log tells it.
-    Until([&] { return log_.find('\n', log_.find("listens on ")) != std::string::npos; }, "the program does not listen");
-    auto at = log_.find("listens on ") + 11;
-    address_ = log_.substr(at, log_.find('\n', at) - at);
+    // The ports are the kernel's choice; the program's log tells them.
+    Until([&] { return !Logged("listens on ").empty(); }, "the program does not listen");
+    address_ = Logged("listens on ");
+    if (config_["discovery"] == "") return;
     Until([&] { return !discovery_.lines.empty(); }, "the program does not watch discovery");
   }
 
+  // The word after this in a whole line of the log.
+  std::string Logged(const std::string& mark) const {
+    auto at = log_.find(mark);
+    auto end = at == std::string::npos ? at : log_.find('\n', at);
+    return end == std::string::npos ? "" : log_.substr(at + mark.size(), end - at - mark.size());
+  }
+
   std::string Request(const std::string& method, const std::string& target, const std::string& headers,
                       const std::string& body) {
     return method + " " + target + " HTTP/1.1\r\nHost: t\r\n" + headers + "Content-Length: " +
@@ -402,6 +465,12 @@
     if (got == net::Io::kEnd || got == net::Io::kError) line.ended = true;
     if (&peer == &discovery_) return;
     while (true) {
+      if (line.dns) {
+        if (line.in.size() < 14) return;
+        peer.came.emplace_back(&line, "rcode " + std::to_string(line.in[5] & 0xf));
+        line.in.erase(0, 14);
+        continue;
+      }
       if (!line.http) {
         std::size_t size = 0;
         for (std::size_t i = 4; i-- > 0 && line.in.size() >= 4;)
@@ -450,6 +519,7 @@
       throw std::runtime_error("line " + std::to_string(number) + ": " + line + "\n" + error.what());
     }
   }
+  player.End();
 }
 
 }  // namespace liftrudder::tests
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -2,6 +2,8 @@
 //
 //   set PATH JSON            change the program's configuration before it starts (a JSON pointer)
 //   holder NAME CELL [STATE] a stand-in holder; STATE: ready, or dead (refuses connections)
+//   zone                     the holders so far come from a zone file instead of discovery
+//   update C VERB HOLDER     client C adds or removes a holder by dynamic update; expect C "rcode 0"
 //   start platform|search    start the program and wait until it is ready
 //   query C ID CLASS BUDGET SHARDS [KEY]   client C posts a platform query for shards such as 0,1
 //   http C METHOD TARGET [BODY]            client C sends any request with a body's length
