SIGHUP moves the discovery watch instead of ending the program

Checked: 129 is 128 + SIGHUP; the signal was neither blocked nor handled (src/main.cpp, Signals). A file that cannot be read is logged. The scenario reload.txt fails without the change (the program ends) and passes with it.

--- a/src/core/intake.cpp
+++ b/src/core/intake.cpp
@@ -37,6 +37,9 @@
   events_.push_back(std::move(*ended));
 }
 
-void Core::Take(tinsail::ListNews& news) { events_.push_back(std::move(news)); }
+void Core::Take(tinsail::ListNews& news) {
+  counters_.lists.Add();
+  events_.push_back(std::move(news));
+}
 
 }  // namespace liftrudder::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <stdexcept>
 
 #include "config/config.h"
@@ -28,14 +29,28 @@
 sigset_t Signals() {
   sigset_t set;
   sigemptyset(&set);
-  for (int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
+  for (int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, signal);
   return set;
 }
 
-// Until told to end; SIGUSR1 prints the counters.
-void WaitForEnd(const sigset_t& signals, const lr::metrics::Counters& counters) {
+// Until told to end; SIGUSR1 prints the counters, SIGHUP has the configuration read again.
+void WaitForEnd(const sigset_t& signals, const lr::metrics::Counters& counters,
+                const std::function<void()>& reload) {
   int signal = 0;
-  while (sigwait(&signals, &signal) == 0 && signal == SIGUSR1) lr::log::Info("counters\n{}", counters.Text());
+  while (sigwait(&signals, &signal) == 0 && (signal == SIGUSR1 || signal == SIGHUP)) {
+    if (signal == SIGHUP) reload();
+    if (signal == SIGUSR1) lr::log::Info("counters\n{}", counters.Text());
+  }
+}
+
+// Guards against a file that is being replaced or is wrong: it changes nothing, and what is open goes on.
+void Reload(const std::string& path, lr::platform::DiscoveryWatch* watch) try {
+  lr::config::Config config = lr::config::Parse(lr::config::ReadFile(path));
+  if (watch == nullptr || config.discovery.empty()) return lr::log::Info("reload: no watch to move");
+  lr::log::Info("reload: discovery is at {}", config.discovery);
+  watch->Move(config.discovery);
+} catch (const std::exception& error) {
+  lr::log::Error("reload: {}; the old settings stay", error.what());
 }
 
 void Pause(lr::core::Micros span) {
@@ -51,7 +66,7 @@
 }
 
 // `options` is null on the platform; elsewhere clients and holders are spoken to in the search API.
-void Serve(const lr::config::Config& config, const lr::opensearch::Options* options,
+void Serve(const std::string& path, const lr::config::Config& config, const lr::opensearch::Options* options,
            const lr::dns::ZoneOptions& zone, const sigset_t& signals) {
   lr::metrics::Counters counters;
   lr::net::SteadyClock clock;
@@ -92,7 +107,7 @@
     lr::net::Fd listener = NeedListener(config.listen);
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
     lr::net::Server server(std::move(listener), *front, clock, counters, config.budget.client_connections);
-    WaitForEnd(signals, counters);
+    WaitForEnd(signals, counters, [&] { Reload(path, watch ? &*watch : nullptr); });
     server.Drain();
     lr::log::Info("told to end; {} queries are open", core.Open());
     Pause(kStillListening);
@@ -115,13 +130,13 @@
     std::string text = lr::config::ReadFile(argv[2]);
     lr::config::Config config = lr::config::Parse(text);
     lr::opensearch::Options options = lr::opensearch::ParseOptions(text, config);
-    Serve(config, &options, lr::dns::ParseZoneOptions(text), signals);
+    Serve(argv[2], config, &options, lr::dns::ParseZoneOptions(text), signals);
     return 0;
   }
   if (argc != 1) throw std::runtime_error("usage: liftrudder [--opensearch FILE]");
   const char* path = std::getenv("BALANCER_CONFIG");
   if (path == nullptr) throw std::runtime_error("BALANCER_CONFIG names no configuration");
-  Serve(lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, signals);
+  Serve(path, lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, signals);
   return 0;
 } catch (const std::exception& error) {
   lr::log::Error("{}", error.what());
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -29,6 +29,7 @@
   line("connections_opened", connects);
   line("connections_failed", connects_failed);
   line("rounds", rounds);
+  line("lists_told", lists);
   return out;
 }
 
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -20,13 +20,28 @@
 
 DiscoveryWatch::DiscoveryWatch(const config::Config& config, core::Directory& directory, core::Core& core,
                                const core::Clock& clock)
-    : config_(config), directory_(directory), core_(core), clock_(clock), thread_([this] { Loop(); }) {}
+    : config_(config),
+      directory_(directory),
+      core_(core),
+      clock_(clock),
+      address_(config.discovery),
+      thread_([this] { Loop(); }) {}
 
 DiscoveryWatch::~DiscoveryWatch() {
   stopping_ = true;
   thread_.Join();
 }
 
+void DiscoveryWatch::Move(const std::string& address) {
+  std::lock_guard lock(mutex_);
+  address_ = address;
+}
+
+std::string DiscoveryWatch::Address() const {
+  std::lock_guard lock(mutex_);
+  return address_;
+}
+
 void DiscoveryWatch::Loop() {
   while (!stopping_) {
     try {
@@ -40,15 +55,17 @@
 }
 
 void DiscoveryWatch::Watch() {
-  net::Fd fd = net::Connect(config_.discovery, kConnectWait);
+  std::string address = Address();
+  net::Fd fd = net::Connect(address, kConnectWait);
   if (!fd.Valid()) return;
   std::string ask = fmt::format("GET /api/targets?watch=1&from={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-                                directory_.Version(), config_.discovery);
+                                directory_.Version(), address);
   if (net::WriteAll(fd, ask, kConnectWait).status != net::Io::kOk) return;
   net::HttpParser parser(net::HttpParser::Kind::kResponse);
   std::string pending;
   core::Micros heard_us = clock_.Now();
-  while (!stopping_ && clock_.Now() - heard_us < kSilence) {
+  // An address that was left may go on beating for a while and tell nothing new any more.
+  while (!stopping_ && clock_.Now() - heard_us < kSilence && Address() == address) {
     net::Io got = net::ReadSome(fd, pending, kSlice);
     if (got == net::Io::kTimeout) continue;
     if (got != net::Io::kOk) return;
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -3,6 +3,8 @@
 #define LIFTRUDDER_PLATFORM_DISCOVERY_H_
 
 #include <atomic>
+#include <mutex>
+#include <string>
 
 #include "config/config.h"
 #include "core/core.h"
@@ -17,9 +19,13 @@
                  const core::Clock& clock);
   ~DiscoveryWatch();
 
+  // From now on it watches there; the list and its version stay, and the new watch asks for what came after.
+  void Move(const std::string& address);
+
  private:
   void Loop();
   void Watch();
+  std::string Address() const;
   void TakeLine(std::string_view line);
 
   const config::Config& config_;
@@ -27,6 +33,8 @@
   core::Core& core_;
   const core::Clock& clock_;
   std::atomic<bool> stopping_{false};
+  mutable std::mutex mutex_;
+  std::string address_;
   net::Thread thread_;
 };
 
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -180,6 +180,8 @@
     } else if (verb == "signal") {
       ::kill(child_, SIGTERM);
       Until([&] { return log_.find("told to end") != std::string::npos; }, "the program heeds no signal");
+    } else if (verb == "reload") {
+      Reload(who == "bad");
     } else if (verb == "wait" && who == "exit") {
       WaitExit();
     } else if (verb == "until") {
@@ -276,10 +278,25 @@
     told_ = std::chrono::steady_clock::now();
   }
 
+  void WriteConfig(const std::string& text) { std::ofstream(folder_ + "/config.json") << text; }
+
+  void Reload(bool bad) {
+    std::list<Line> old;
+    if (!bad) {
+      discovery_.listener = net::Listen("127.0.0.1:0");
+      config_["discovery"] = net::LocalAddress(discovery_.listener);
+      old.swap(discovery_.lines);
+    }
+    WriteConfig(bad ? "{" : config_.dump());
+    ::kill(child_, SIGHUP);
+    if (bad) return Until([&] { return log_.find("the old settings stay") != std::string::npos; }, "not reread");
+    Until([&] { return !discovery_.lines.empty(); }, "the watch does not move");
+  }
+
   void Start(const std::string& mode) {
     search_ = mode == "search";
     std::string path = folder_ + "/config.json";
-    std::ofstream(path) << config_.dump();
+    WriteConfig(config_.dump());
     int ends[2];
     if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends) != 0) throw std::runtime_error("no socket pair");
     child_ = ::fork();
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -16,6 +16,8 @@
 //   quiet X                  nothing has come at X that was not expected
 //   keep NAME PREFIX SUFFIX  what stands between these in the last message, later written $NAME
 //   close X                  X's connections end; `reset X` with a reset; `dead X` and the listener too
+//   reload [bad]             discovery moves to a new address and the configuration says so (or cannot be read),
+//                            and SIGHUP is sent; waits until the program watches there (or has logged it)
 //   signal                   SIGTERM to the program;  wait exit: it has ended with 0
 //   until GLOB               the program's counters match
 #ifndef LIFTRUDDER_TESTS_SCENARIO_H_
