Client connections bounded in time and closed for room; errors outlive unread input

Ruled out: decisions (no failure outside the refusals), memory (3 of 32 MB), CPU (0.1 s a second). Cause: those connections were kept for 120 s (server.cpp, kIdleWait) and filled the cap of 69, which was small since an eventfd a client took a second descriptor (config.cpp, ShareOut); beyond it every client got 503. Now: no eventfd (the reply is a condition variable; the client is looked at every 250 ms); 2 s from connecting for a first request, 5 s idle; near the cap the longest idle or mute is closed for a new one; requests on at most a third of the descriptors; several requests written at once are turned down unread.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -76,17 +76,19 @@
 }
 
 Budget ShareOut(int sockets, int memory_mb) {
-  // Kept back: standard streams, listener, discovery, and what is being accepted or closed just now.
+  // Kept back: standard streams, listener, discovery's old and new watch, the clients that are just being
+  // ended or turned away, and what is being accepted just now.
   constexpr int kReserve = 48;
-  // A connection's thread touches its stack, parser and a body: 256 KiB at the most. A third of the memory
-  // stays with the core, its queue and the allocator.
-  constexpr int kPerMb = 4;
+  // A connection's thread touches some 24 KiB of its stack and, when a request is as large as it may be, as
+  // much again as that: 128 KiB at the most. A third of the memory stays with the core, its queue and the
+  // allocator.
+  constexpr int kPerMb = 8;
   int descriptors = std::max(16, sockets - kReserve);
   int threads = std::max(16, memory_mb * kPerMb * 2 / 3);
   Budget budget;
-  budget.holder_connections = std::min(descriptors / 3, threads / 3);
-  // A client's connection holds two descriptors: its own and the one that wakes its thread.
-  budget.client_connections = std::min((descriptors - budget.holder_connections) / 2, threads * 2 / 3);
+  budget.holder_connections = std::min(descriptors * 2 / 5, threads * 2 / 5);
+  budget.client_connections = std::min(descriptors - budget.holder_connections, threads * 3 / 5);
+  budget.client_requests = std::min(budget.client_connections, std::max(4, sockets / 3));
   return budget;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -14,6 +14,7 @@
 
 struct Budget {
   int client_connections = 0;
+  int client_requests = 0;  // of them, with a request being read or answered
   int holder_connections = 0;
 };
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -74,7 +74,8 @@
   lr::core::Core core(config.settings, config.seed, clock, directory, counters);
   lr::platform::FrameDialect frames(config.load_names);
   lr::opensearch::SearchDialect searches;
-  const lr::net::Dialect& dialect = options == nullptr ? static_cast<const lr::net::Dialect&>(frames) : searches;
+  const lr::net::Dialect& dialect =
+      options == nullptr ? static_cast<const lr::net::Dialect&>(frames) : searches;
   lr::net::LinkLimits limits{config.connect_timeout_us, config.idle_close_us,
                              options == nullptr ? config.streams_per_connection : 1,
                              config.budget.holder_connections};
@@ -106,7 +107,8 @@
     }
     lr::net::Fd listener = NeedListener(config.listen);
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
-    lr::net::Server server(std::move(listener), *front, clock, counters, config.budget.client_connections);
+    lr::net::Server server(std::move(listener), *front, clock, counters,
+                           {config.budget.client_connections, config.budget.client_requests});
     WaitForEnd(signals, counters, [&] { Reload(path, watch ? &*watch : nullptr); });
     server.Drain();
     lr::log::Info("told to end; {} queries are open", core.Open());
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -45,6 +45,10 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 429:
       return "Too Many Requests";
     case 500:
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -64,6 +64,7 @@
   std::string type = "application/json";
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
+  bool close = false;  // the connection is to end after it
 };
 
 std::string Format(const HttpResponse& response, bool close);
--- /dev/null
+++ b/src/net/lingerer.h
@@ -0,0 +1,42 @@
+// Ends connections whose other side may still be writing: what was answered must not be lost to a reset.
+#ifndef LIFTRUDDER_NET_LINGERER_H_
+#define LIFTRUDDER_NET_LINGERER_H_
+
+#include <atomic>
+#include <list>
+#include <mutex>
+
+#include "net/socket.h"
+
+namespace liftrudder::net {
+
+class Lingerer {
+ public:
+  // Holds at most so many connections; beyond that the oldest is closed as it is.
+  explicit Lingerer(std::size_t most);
+  ~Lingerer();
+
+  // Ends our writing, throws away what still comes, bounded in bytes and time, and closes. Never blocks.
+  void Take(Fd fd);
+
+ private:
+  struct One {
+    Fd fd;
+    Micros until_us = 0;
+    std::size_t left = 0;  // bytes that are still thrown away
+  };
+  void Loop();
+  void Sweep();
+
+  const std::size_t most_;
+  SteadyClock clock_;
+  std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  std::list<One> all_;
+  Fd waker_;
+  Thread thread_;
+};
+
+}  // namespace liftrudder::net
+
+#endif  // LIFTRUDDER_NET_LINGERER_H_
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -12,31 +13,37 @@
 #include "core/ports.h"
 #include "metrics/metrics.h"
 #include "net/http.h"
+#include "net/lingerer.h"
 #include "net/socket.h"
 
 namespace liftrudder::net {
 
 // What a handler knows of the connection it answers on.
 struct Exchange {
-  int client = -1;            // to see the client go
-  std::shared_ptr<Fd> waker;  // an eventfd, signalled when an answer has come
-  Micros received_us = 0;     // when the request's first byte was seen
+  int client = -1;         // to see the client go
+  Micros received_us = 0;  // when the request's first byte was seen
   bool draining = false;
 };
 
 class Handler {
  public:
   virtual ~Handler() = default;
-  // Nothing: the client has gone, and the connection ends without an answer.
-  virtual std::optional<HttpResponse> Handle(const HttpMessage& request, const Exchange& exchange) = 0;
+  // Nothing: the client has gone, and the connection ends without an answer. The request is the handler's to
+  // empty: while an answer is waited for, its bytes need not be held twice.
+  virtual std::optional<HttpResponse> Handle(HttpMessage& request, const Exchange& exchange) = 0;
   virtual HttpResponse Malformed() = 0;
   virtual HttpResponse Overloaded() = 0;
 };
 
+struct ServerLimits {
+  int connections = 0;  // open at once
+  int requests = 0;     // read or answered at once
+};
+
 class Server {
  public:
   Server(Fd listener, Handler& handler, const core::Clock& clock, metrics::Counters& counters,
-         int max_connections);
+         const ServerLimits& limits);
   ~Server();
 
   // From then on every answer closes its connection; new ones come in until StopListening.
@@ -46,39 +53,58 @@
   bool WaitClosed(Micros wait_us);
 
  private:
+  // New: nothing has been answered on it yet. Busy: a request is being read or answered.
+  enum class Phase { kNew, kBusy, kIdle };
+  struct Session {
+    int fd = -1;
+    Phase phase = Phase::kNew;
+    Micros since_us = 0;
+    bool told = false;  // told to end
+  };
+  using Place = std::list<Session>::iterator;
+  enum class Came { kRequest, kNothing, kBad, kLate };
+
   void AcceptLoop();
-  void Serve(Fd client);
-  // The next request; nothing when the connection is to end.
-  bool ReadRequest(const Fd& client, std::string& pending, HttpParser& parser, Micros& received_us);
-  void Leave();
+  // A place for a connection; nothing when all are taken by requests or by ones that are just ending.
+  std::optional<Place> Enter(int fd);
+  void MakeRoom(Micros now);
+  bool Turn(Place place, Phase phase);
+  void Release(Place place);
+  void Leave(Place place);
+  void TurnAway(Fd client);
+  bool Serve(const Fd& client, Place place);
+  Came ReadRequest(const Fd& client, Place place, std::string& pending, HttpParser& parser,
+                   Micros& received_us);
 
   Fd listener_;
   Handler& handler_;
   const core::Clock& clock_;
   metrics::Counters& counters_;
-  const int max_connections_;
+  const ServerLimits limits_;
+  Lingerer lingerer_;
   std::atomic<bool> draining_{false};
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::condition_variable left_;
-  int connections_ = 0;
+  std::list<Session> sessions_;
+  int told_ = 0, busy_ = 0;  // of the sessions
   Thread accept_thread_;
 };
 
 // A client's place to wait; see core::ClientReply.
 class WaitingReply : public core::ClientReply {
  public:
-  explicit WaitingReply(std::shared_ptr<Fd> waker) : waker_(std::move(waker)) {}
   void Deliver(core::FinalAnswer answer) override;
 
-  enum class End { kAnswered, kGone, kLate };
+  // Crowded: the client has written more although its answer is still out.
+  enum class End { kAnswered, kGone, kLate, kCrowded };
   // Until the answer is there, the client has gone, or `deadline_us` has come.
   End Wait(int client, const core::Clock& clock, Micros deadline_us);
   core::FinalAnswer& answer() { return *answer_; }
 
  private:
-  std::shared_ptr<Fd> waker_;
   std::mutex mutex_;
+  std::condition_variable came_;
   std::optional<core::FinalAnswer> answer_;
 };
 
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -118,7 +118,8 @@
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   int on = 1;
   setsockopt(fd.Get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (::bind(fd.Get(), reinterpret_cast<sockaddr*>(&*at), sizeof *at) != 0 || ::listen(fd.Get(), 256) != 0)
+  if (::bind(fd.Get(), reinterpret_cast<sockaddr*>(&*at), sizeof *at) != 0 ||
+      ::listen(fd.Get(), SOMAXCONN) != 0)
     return Fd();
   return fd;
 }
@@ -144,8 +145,8 @@
   Written out;
   Micros until = Until(wait_us);
   while (out.bytes < bytes.size()) {
-    ssize_t sent = ::send(fd.Get(), bytes.data() + out.bytes, bytes.size() - out.bytes,
-                          MSG_NOSIGNAL | MSG_DONTWAIT);
+    ssize_t sent =
+        ::send(fd.Get(), bytes.data() + out.bytes, bytes.size() - out.bytes, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (sent > 0) {
       out.bytes += static_cast<std::size_t>(sent);
     } else if (sent < 0 && errno == EINTR) {
@@ -177,6 +178,33 @@
 bool Readable(int fd, Micros wait_us) { return Wait(fd, POLLIN, Until(wait_us)) != 0; }
 
 void ShutDown(const Fd& fd) { ::shutdown(fd.Get(), SHUT_RDWR); }
+void ShutDownWriting(const Fd& fd) { ::shutdown(fd.Get(), SHUT_WR); }
+void ShutDownReading(int fd) { ::shutdown(fd, SHUT_RD); }
+
+Sight Peek(int fd) {
+  char byte = 0;
+  ssize_t got = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got > 0) return Sight::kBytes;
+  if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return Sight::kNothing;
+  return Sight::kEnd;
+}
+
+std::optional<std::size_t> Discard(const Fd& fd, std::size_t most) {
+  std::size_t dropped = 0;
+  while (dropped < most) {
+    ssize_t got = ::recv(fd.Get(), nullptr, most - dropped, MSG_TRUNC | MSG_DONTWAIT);
+    if (got > 0) {
+      dropped += static_cast<std::size_t>(got);
+    } else if (got < 0 && errno == EINTR) {
+      continue;
+    } else if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      break;
+    } else {
+      return std::nullopt;
+    }
+  }
+  return dropped;
+}
 
 Thread::Thread(std::function<void()> body) : running_(Spawn(handle_, std::move(body), true)) {}
 Thread::Thread(Thread&& other) noexcept
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -5,6 +5,7 @@
 #include <pthread.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -58,6 +59,14 @@
 // Whether there is something to read or an end to see; waits at most so long.
 bool Readable(int fd, Micros wait_us);
 void ShutDown(const Fd& fd);
+void ShutDownWriting(const Fd& fd);
+// The other side's bytes that are there can still be read; then comes the end.
+void ShutDownReading(int fd);
+// What there is to see without taking it: nothing yet, a byte, or the end.
+enum class Sight { kNothing, kBytes, kEnd };
+Sight Peek(int fd);
+// Throws away what is there, at most so much, without copying it; nothing at the connection's end.
+std::optional<std::size_t> Discard(const Fd& fd, std::size_t most);
 
 // A joining thread with a stack of kStackBytes.
 class Thread {
--- a/src/opensearch/errors.cpp
+++ b/src/opensearch/errors.cpp
@@ -7,17 +7,18 @@
 namespace liftrudder::opensearch {
 
 ApiError BadRequest(std::string reason) {
-  return {400, "illegal_argument_exception", std::move(reason), 0};
+  return {400, "illegal_argument_exception", std::move(reason), 0, false};
 }
 ApiError NoSuchIndex(const std::string& index) {
-  return {404, "index_not_found_exception", "no such index [" + index + "]", 0};
+  return {404, "index_not_found_exception", "no such index [" + index + "]", 0, false};
 }
 ApiError Busy(core::Micros retry_after_us) {
-  return {429, "rejected_execution_exception", "not now: nothing of it counts, try again", retry_after_us};
+  return {429, "rejected_execution_exception", "not now: nothing of it counts, try again", retry_after_us,
+          false};
 }
-ApiError OutOfTime() { return {504, "timeout_exception", "no sufficient answer came in time", 0}; }
+ApiError OutOfTime() { return {504, "timeout_exception", "no sufficient answer came in time", 0, false}; }
 ApiError Unanswered(std::string reason) {
-  return {503, "search_phase_execution_exception", std::move(reason), 0};
+  return {503, "search_phase_execution_exception", std::move(reason), 0, false};
 }
 
 std::string ErrorBody(const ApiError& error) {
@@ -30,6 +31,7 @@
 net::HttpResponse ErrorResponse(const ApiError& error) {
   net::HttpResponse out;
   out.status = error.status;
+  out.close = error.close;
   out.body = ErrorBody(error);
   if (error.retry_after_us > 0) {
     // Whole seconds: the API's clients read nothing finer.
--- a/src/opensearch/errors.h
+++ b/src/opensearch/errors.h
@@ -14,6 +14,7 @@
   std::string type = "illegal_argument_exception";
   std::string reason;
   core::Micros retry_after_us = 0;
+  bool close = false;  // the connection ends with it
 };
 
 ApiError BadRequest(std::string reason);
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -14,10 +14,10 @@
 
 namespace json = net::json;
 
-constexpr core::Micros kLastMoment = 5'000;    // before the client's time is up, should the core be busy
-constexpr core::Micros kAimSlack = 50'000;     // an end this near the aim or deadline was cut by time
+constexpr core::Micros kLastMoment = 5'000;  // before the client's time is up, should the core be busy
+constexpr core::Micros kAimSlack = 50'000;   // an end this near the aim or deadline was cut by time
 constexpr core::Micros kBusyRetryUs = 1'000'000;
-constexpr std::size_t kMaxSearches = 32;       // in one _msearch
+constexpr std::size_t kMaxSearches = 32;  // in one _msearch
 
 std::vector<std::string> Steps(std::string_view path) {
   std::vector<std::string> out;
@@ -32,8 +32,8 @@
 
 }  // namespace
 
-Front::Front(const config::Config& config, const Options& options, core::Core& core,
-             const core::Clock& clock, metrics::Counters& counters)
+Front::Front(const config::Config& config, const Options& options, core::Core& core, const core::Clock& clock,
+             metrics::Counters& counters)
     : config_(config),
       options_(options),
       core_(core),
@@ -50,8 +50,7 @@
   return ErrorResponse(error);
 }
 
-std::optional<net::HttpResponse> Front::Handle(const net::HttpMessage& request,
-                                               const net::Exchange& exchange) {
+std::optional<net::HttpResponse> Front::Handle(net::HttpMessage& request, const net::Exchange& exchange) {
   net::HttpResponse out;
   std::string_view path = request.Path();
   if (path == "/-/ready" && exchange.draining) return ErrorResponse(Unanswered("draining"));
@@ -110,7 +109,7 @@
   payload.statement = std::move(body);
   query.payload = std::make_shared<const core::Payload>(std::move(payload));
   Asked asked;
-  asked.reply = std::make_shared<net::WaitingReply>(exchange.waker);
+  asked.reply = std::make_shared<net::WaitingReply>();
   asked.deadline_us = query.deadline_us;
   asked.aim_us = exchange.received_us + cls.aim_us;
   asked.index = &index;
@@ -133,6 +132,12 @@
       core_.Post(core::Hangup{*asked.id});
       counters_.late.Add();
       return OutOfTime();
+    case net::WaitingReply::End::kCrowded: {
+      core_.Post(core::Hangup{*asked.id});
+      ApiError error = BadRequest("one request at a time");
+      error.close = true;
+      return error;
+    }
     case net::WaitingReply::End::kAnswered:
       break;
   }
@@ -152,8 +157,8 @@
   return {now - exchange.received_us, !answer.full && now + kAimSlack >= asked.aim_us, &asked.index->parts};
 }
 
-Front::Asked Front::AskSearch(const std::string& index, const Search& search,
-                              const net::HttpMessage& request, const net::Exchange& exchange) {
+Front::Asked Front::AskSearch(const std::string& index, const Search& search, const net::HttpMessage& request,
+                              const net::Exchange& exchange) {
   std::string target = "/" + index + "/_search";
   if (!search.parameters.empty()) target += "?" + search.parameters.substr(1);
   // A page of a scroll with a shard missing would lose that shard's hits for good.
@@ -168,15 +173,16 @@
   if (std::holds_alternative<Gone>(came)) return Gone{};
   const auto& answer = std::get<core::FinalAnswer>(came);
   auto merged = MergeHits(search, answer, HowItCame(asked, answer, exchange));
-  if (!merged) return ApiError{500, "search_phase_execution_exception", "hits came without their sort values", 0};
+  if (!merged)
+    return ApiError{500, "search_phase_execution_exception", "hits came without their sort values", 0, false};
   if (search.keep_alive_us == 0) return merged->body + "}";
   Cursor next{index, search, merged->hits == 0};
   if (!merged->last_sort.empty()) next.search.search_after = merged->last_sort;
   auto id = scroll_id.empty() ? scrolls_.Open(std::move(next)) : scrolls_.Advance(scroll_id, std::move(next));
   if (!id) {
-    return scroll_id.empty() ? ApiError{429, "rejected_execution_exception", "too many scrolls are open",
-                                        kBusyRetryUs}
-                             : ApiError{404, "search_context_missing_exception", "the scroll has ended", 0};
+    return scroll_id.empty()
+               ? ApiError{429, "rejected_execution_exception", "too many scrolls are open", kBusyRetryUs}
+               : ApiError{404, "search_context_missing_exception", "the scroll has ended", 0, false};
   }
   return fmt::format("{},\"_scroll_id\":{}}}", merged->body, json::Quote(*id));
 }
@@ -197,7 +203,7 @@
               query_only = query_only && name == "query";
               return true;
             });
-  if (!ok) return ApiError{400, "parsing_exception", "the body is not a JSON object", 0};
+  if (!ok) return ApiError{400, "parsing_exception", "the body is not a JSON object", 0, false};
   if (!query_only) return BadRequest("only [query] is supported in a count");
   auto mark = request.target.find('?');
   std::string target = "/" + index + "/_count";
@@ -219,7 +225,8 @@
   if (auto value = request.Parameter("scroll_id")) id = Unescape(*value);
   if (auto value = request.Parameter("scroll")) keep = Unescape(*value);
   if (!request.body.empty()) {
-    if (!json::Valid(request.body)) return ApiError{400, "parsing_exception", "the body is not JSON", 0};
+    if (!json::Valid(request.body))
+      return ApiError{400, "parsing_exception", "the body is not JSON", 0, false};
     if (auto value = json::String(json::Get(request.body, "scroll_id"))) id = *value;
     if (auto value = json::String(json::Get(request.body, "scroll"))) keep = *value;
   }
@@ -269,18 +276,20 @@
   if (lines.empty() || lines.size() % 2 != 0 || request.body.back() != '\n')
     return BadRequest("a multi search is pairs of lines, each ended by a newline");
   if (lines.size() / 2 > kMaxSearches) return BadRequest(fmt::format("at most {} searches", kMaxSearches));
-  if (request.target.find('?') != std::string::npos) return BadRequest("parameters of _msearch are not supported");
+  if (request.target.find('?') != std::string::npos)
+    return BadRequest("parameters of _msearch are not supported");
   net::HttpMessage bare;  // the searches share the request's headers, and have no parameters
   bare.headers = request.headers;
   // All are asked before the first is waited for.
   for (std::size_t i = 0; i < lines.size(); i += 2) {
     One& one = all.emplace_back();
     one.index = index;
-    bool header = lines[i].empty() || json::Members(lines[i], [&one](std::string_view name, std::string_view value) {
-                    if (name != "index") return false;
-                    one.index = json::String(value).value_or("");
-                    return true;
-                  });
+    bool header =
+        lines[i].empty() || json::Members(lines[i], [&one](std::string_view name, std::string_view value) {
+          if (name != "index") return false;
+          one.index = json::String(value).value_or("");
+          return true;
+        });
     if (!header) one.error = BadRequest("only [index] is supported in the header of a search");
     if (!one.error) one.error = Locate(one.index);
     if (!one.error) one.error = ReadSearch(bare, lines[i + 1], options_, one.search);
@@ -288,7 +297,8 @@
   }
   std::string out = fmt::format("{{\"took\":{},\"responses\":[", 0);
   for (One& one : all) {
-    Result result = one.error ? Result(*one.error) : FinishSearch(one.index, one.search, *one.asked, exchange);
+    Result result =
+        one.error ? Result(*one.error) : FinishSearch(one.index, one.search, *one.asked, exchange);
     if (std::holds_alternative<Gone>(result)) {
       for (One& left : all) {
         if (left.asked && left.asked->id) core_.Post(core::Hangup{*left.asked->id});
--- a/src/opensearch/front.h
+++ b/src/opensearch/front.h
@@ -17,8 +17,7 @@
   Front(const config::Config& config, const Options& options, core::Core& core, const core::Clock& clock,
         metrics::Counters& counters);
 
-  std::optional<net::HttpResponse> Handle(const net::HttpMessage& request,
-                                          const net::Exchange& exchange) override;
+  std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override;
   net::HttpResponse Malformed() override;
   net::HttpResponse Overloaded() override;
 
--- a/src/opensearch/search.cpp
+++ b/src/opensearch/search.cpp
@@ -193,7 +193,7 @@
       return !error;
     });
     if (error) return error;
-    if (!ok) return ApiError{400, "parsing_exception", "the body is not a JSON object", 0};
+    if (!ok) return ApiError{400, "parsing_exception", "the body is not a JSON object", 0, false};
   }
   if (out.from + out.size > options.result_window) {
     return BadRequest(fmt::format("result window is too large: from + size must be at most {}; use a scroll "
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -68,8 +68,7 @@
 net::HttpResponse Front::Malformed() { return Problem(400, "the request cannot be read"); }
 net::HttpResponse Front::Overloaded() { return Refusal(503, kBusyRetryUs, "too many connections"); }
 
-std::optional<net::HttpResponse> Front::Handle(const net::HttpMessage& request,
-                                               const net::Exchange& exchange) {
+std::optional<net::HttpResponse> Front::Handle(net::HttpMessage& request, const net::Exchange& exchange) {
   std::string_view path = request.Path();
   if (path == "/-/ready" || path == "/-/healthy")
     return exchange.draining && path == "/-/ready" ? Problem(503, "draining") : net::HttpResponse{};
@@ -101,8 +100,7 @@
   query.repeated = again != nullptr && *again == "1";
   core::Payload payload;
   payload.call_id = *id;
-  tinsail::Effect effect =
-      config_.settings.classes[static_cast<std::size_t>(query.class_index)].effect;
+  tinsail::Effect effect = config_.settings.classes[static_cast<std::size_t>(query.class_index)].effect;
   if (effect == tinsail::Effect::kDeduplicated) {
     if (key == nullptr || !Plain(*key)) return std::nullopt;
     payload.dedup_key = *key;
@@ -137,7 +135,7 @@
     return Malformed();
   }
   core::Micros deadline_us = query->deadline_us;
-  auto reply = std::make_shared<net::WaitingReply>(exchange.waker);
+  auto reply = std::make_shared<net::WaitingReply>();
   auto id = core_.Admit(std::move(*query), reply);
   if (!id) return Refusal(503, kBusyRetryUs, "too many queries are open");
   switch (reply->Wait(exchange.client, clock_, deadline_us - kLastMoment)) {
@@ -148,6 +146,13 @@
       core_.Post(core::Hangup{*id});
       counters_.late.Add();
       return Problem(504, "no answer in time");
+    case net::WaitingReply::End::kCrowded: {
+      core_.Post(core::Hangup{*id});
+      counters_.malformed.Add();
+      net::HttpResponse out = Problem(400, "one request at a time");
+      out.close = true;
+      return out;
+    }
     case net::WaitingReply::End::kAnswered:
       break;
   }
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -10,12 +10,10 @@
 
 class Front : public net::Handler {
  public:
-  Front(const config::Config& config, core::Core& core, const core::Clock& clock,
-        metrics::Counters& counters)
+  Front(const config::Config& config, core::Core& core, const core::Clock& clock, metrics::Counters& counters)
       : config_(config), core_(core), clock_(clock), counters_(counters) {}
 
-  std::optional<net::HttpResponse> Handle(const net::HttpMessage& request,
-                                          const net::Exchange& exchange) override;
+  std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override;
   net::HttpResponse Malformed() override;
   net::HttpResponse Overloaded() override;
 
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -152,6 +152,11 @@
     } else if (verb == "send") {
       bool holder = holders_.contains(Name(who));
       Write(holder ? *holders_.at(Name(who)).last : Client(who), holder ? Framed(Plain(rest)) : Plain(rest));
+    } else if (verb == "flood") {
+      std::size_t size = 0;
+      words >> size;
+      std::getline(words >> std::ws, rest);
+      Write(Client(who), Plain(rest) + std::string(size, 'x'));
     } else if (verb == "reply") {
       int status = 0;
       words >> status;
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -8,6 +8,7 @@
 //   query C ID CLASS BUDGET SHARDS [KEY]   client C posts a platform query for shards such as 0,1
 //   http C METHOD TARGET [BODY]            client C sends any request with a body's length
 //   send X TEXT              bytes on X's connection, \r \n \xNN understood; on a holder: one frame
+//   flood C SIZE TEXT        client C sends the bytes and then so many more, whatever is answered meanwhile
 //   reply X STATUS BODY      a holder answers the request it took last, in HTTP
 //   list NAME STATE          discovery tells of a holder: ready, draining or gone
 //   expect X GLOB            the next message at X matches (a holder's name, a client's, or any: the holder
