Spoilt answers end their connection, parts get one of their own, gone holders are forgotten

Ruled out: reports draw no traffic, since the module reads none of them (rules.cpp never looks at `load`). A connect that fails ends all that waited for it; one that is slow is not waited for beside a usable connection.

--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -15,6 +15,9 @@
       return OutcomeCode::kError;
     case Cause::kSkipped:
       return OutcomeCode::kFull;
+    case Cause::kSpoilt:
+      // The holder lives and has answered, if in a way of no use: an error, not the loss of its process.
+      return may_have_run ? OutcomeCode::kError : OutcomeCode::kConnectFailed;
     case Cause::kConnectionLost:
       return may_have_run ? OutcomeCode::kReset : OutcomeCode::kConnectFailed;
     case Cause::kWithdrawn:
--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -6,6 +6,7 @@
 namespace liftrudder::core {
 namespace {
 
+constexpr Micros kForget = 30'000'000;  // longer than any query's budget
 constexpr Micros kStopMargin = 30'000;  // between the last look at the limit and the first byte on the wire
 
 }  // namespace
@@ -28,7 +29,7 @@
   std::set<ReplicaId> named;
   for (const HolderEntry& entry : list.entries) {
     auto [place, fresh] = ids_.try_emplace(entry.id);
-    if (fresh) place->second = ReplicaId{static_cast<std::uint32_t>(ids_.size()), 1};
+    if (fresh) place->second = ReplicaId{++given_, 1};
     HolderAddress& holder = holders_[place->second];
     holder.id = entry.id;
     holder.addr = entry.addr;
@@ -37,16 +38,38 @@
     } else {
       StopSending(holder, told_us);
     }
+    if (entry.told.availability != tinsail::Availability::kGone) {
+      gone_.erase(place->second);
+    } else {
+      gone_.try_emplace(place->second, told_us);
+    }
     named.insert(place->second);
     news.replicas.push_back(entry.told);
     news.replicas.back().id = place->second;
   }
   for (auto& [id, holder] : holders_) {
-    if (whole && !named.contains(id)) StopSending(holder, told_us);
+    if (!whole || named.contains(id)) continue;
+    StopSending(holder, told_us);
+    gone_.try_emplace(id, told_us);
   }
+  Forget(told_us);
   return news;
 }
 
+// Guards a long day, in which holders are replaced for ever, against growing with them. Nothing is out any more
+// at what was gone that long, older lists are ignored, and a newer one that names it again makes it a new holder.
+void Directory::Forget(Micros now) {
+  for (auto one = gone_.begin(); one != gone_.end();) {
+    auto next = std::next(one);
+    if (now - one->second > kForget) {
+      ids_.erase(holders_.at(one->first).id);
+      holders_.erase(one->first);
+      gone_.erase(one);
+    }
+    one = next;
+  }
+}
+
 HolderAddress Directory::Find(const ReplicaId& holder) const {
   std::lock_guard lock(mutex_);
   auto found = holders_.find(holder);
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -35,6 +35,7 @@
 
  private:
   void StopSending(HolderAddress& holder, Micros told_us) const;
+  void Forget(Micros now);
 
   const tinsail::Settings settings_;
   mutable std::mutex mutex_;
@@ -42,6 +43,8 @@
   std::uint64_t version_ = 0;
   std::map<std::string, ReplicaId> ids_;
   std::map<ReplicaId, HolderAddress> holders_;
+  std::map<ReplicaId, Micros> gone_;  // since when; they are forgotten in time
+  std::uint32_t given_ = 0;           // ids so far: none is given twice
 };
 
 }  // namespace liftrudder::core
--- a/src/core/intake.cpp
+++ b/src/core/intake.cpp
@@ -40,6 +40,7 @@
 void Core::Take(tinsail::ListNews& news) {
   counters_.lists.Add();
   events_.push_back(std::move(news));
+  transport_->ForgetGone();
 }
 
 }  // namespace liftrudder::core
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -55,7 +55,7 @@
 
 // How far an attempt had come when it ended, and why it ended. Whether it may have run follows from these alone.
 enum class Progress { kNotConnected, kPartlyWritten, kWhollyWritten, kAnswering };
-enum class Cause { kServed, kBroke, kSkipped, kConnectionLost, kWithdrawn, kExpired, kStale };
+enum class Cause { kServed, kBroke, kSkipped, kSpoilt, kConnectionLost, kWithdrawn, kExpired, kStale };
 
 OutcomeCode OutcomeOf(Progress progress, Cause cause);
 
@@ -95,6 +95,8 @@
   virtual void Start(AttemptOrder order) = 0;
   virtual void Withdraw(const AttemptKey& key, const ReplicaId& holder, Cause cause) = 0;
   virtual void CloseIdle(const ReplicaId& holder) = 0;
+  // Lets go of what is kept for holders that take nothing new and have nothing out.
+  virtual void ForgetGone() = 0;
 };
 
 struct HolderAddress {
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -29,6 +29,7 @@
     fmt::format_to(std::back_inserter(out), "attempts_{} {}\n", kOutcomes[i], outcomes[i].Value());
   line("connections_opened", connects);
   line("connections_failed", connects_failed);
+  line("connections_spoilt", spoilt);
   line("rounds", rounds);
   line("lists_told", lists);
   return out;
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -13,7 +13,10 @@
 constexpr Micros kSlice = 500'000;  // how soon a reader looks whether its connection has stood idle too long
 constexpr double kIdleShare = 0.8;  // of the time after which the holder closes: not used from then on
 constexpr std::size_t kMaxPending = 256 * 1024;
-constexpr std::size_t kSweepFrom = 48;  // links, before those of holders that are gone are looked for
+constexpr Micros kStall = 500'000;  // an answer that has begun and does not go on for so long is spoilt
+constexpr std::size_t kMostWithdrawn = 64;  // on one connection, before it is left for another
+constexpr double kSpread = 0.75;     // of all connections: up to here each part out gets one of its own
+constexpr Micros kSlowConnect = 20'000;
 
 }  // namespace
 
@@ -47,7 +50,9 @@
   if (found->second.progress >= core::Progress::kPartlyWritten) {
     std::string id = context_.dialect.Id(found->second.order);
     std::shared_ptr<Connection> connection = found->second.connection;
-    connection->withdrawn.insert(id);
+    // Answers to these may come late or never: a connection that has met many is replaced, lest they pile up.
+    connection->withdrawn.push_back(id);
+    connection->given_up = connection->withdrawn.size() >= kMostWithdrawn;
     std::erase_if(connection->out, [&](const auto& one) { return one.second == key; });
     if (context_.dialect.GiveUp(id).empty()) {
       if (connection->out.empty()) Retire(connection);
@@ -88,8 +93,9 @@
 // Looked at before the first byte only: a holder that drains, a client that gave up, a time that is over.
 bool Link::Stale(const core::AttemptOrder& order) const {
   Micros now = context_.clock.Now();
-  Micros stop = context_.directory.Find(holder_).stop_sending_us;
-  return now >= order.wait_until_us || (stop > 0 && now >= stop);
+  core::HolderAddress holder = context_.directory.Find(holder_);
+  bool stopped = holder.id.empty() || (holder.stop_sending_us > 0 && now >= holder.stop_sending_us);
+  return stopped || now >= order.wait_until_us;
 }
 
 void Link::WriteLoop() {
@@ -173,24 +179,35 @@
   Finish(key, core::Cause::kConnectionLost);
 }
 
+// Guards the other parts out on a connection from an answer that spoils it: as long as there are connections
+// to spare, each part out has one of its own. A usable one is never left for one that is slow to come up.
+bool Link::MayOpenAnother() const {
+  return !slow_connect_ && context_.connections < kSpread * context_.limits.max_connections;
+}
+
 std::shared_ptr<Link::Connection> Link::Pick(std::unique_lock<std::mutex>& lock, const std::string& id) {
   std::string addr = context_.directory.Find(holder_).addr;
   Micros limit =
       static_cast<Micros>(kIdleShare * static_cast<double>(context_.limits.idle_close_us));
+  std::shared_ptr<Connection> best;
   for (const auto& connection : connections_) {
     if (connection->dead) continue;
     bool idle = connection->out.empty() && context_.clock.Now() - connection->used_us > limit;
-    if (idle || connection->addr != addr) {
+    if (idle || connection->addr != addr || connection->given_up) {
       if (connection->out.empty()) Retire(connection);
       continue;
     }
     // An earlier attempt's answer under the same id could be taken for this one's: not on one connection.
-    bool ambiguous = connection->withdrawn.contains(id) ||
+    bool ambiguous = std::ranges::find(connection->withdrawn, id) != connection->withdrawn.end() ||
                      std::ranges::any_of(connection->out, [&](const auto& one) { return one.first == id; });
-    if (!ambiguous && static_cast<int>(connection->out.size()) < context_.limits.streams_per_connection)
-      return connection;
+    if (ambiguous || static_cast<int>(connection->out.size()) >= context_.limits.streams_per_connection)
+      continue;
+    if (best == nullptr || connection->out.size() < best->out.size()) best = connection;
   }
-  return Open(lock, addr);
+  if (best != nullptr && (best->out.empty() || !MayOpenAnother())) return best;
+  std::shared_ptr<Connection> opened = Open(lock, addr);
+  if (opened != nullptr || best == nullptr || best->dead) return opened;
+  return best;
 }
 
 std::shared_ptr<Link::Connection> Link::Open(std::unique_lock<std::mutex>& lock, const std::string& addr) {
@@ -198,12 +215,16 @@
     context_.connections.fetch_sub(1);
     return nullptr;
   }
+  std::size_t waiting = queue_.size();
   lock.unlock();
   Micros from_us = context_.clock.Now();
   Fd fd = Connect(addr, context_.limits.connect_timeout_us);
   lock.lock();
+  Micros took_us = context_.clock.Now() - from_us;
+  slow_connect_ = !fd.Valid() || took_us > kSlowConnect;
   if (!fd.Valid() || stopping_) {
-    log::Info("holder at {}: no connection after {} us", addr, context_.clock.Now() - from_us);
+    log::Info("holder at {}: no connection after {} us", addr, took_us);
+    if (connections_.empty()) FailWaiting(waiting);
     context_.connections.fetch_sub(1);
     context_.counters.connects_failed.Add();
     return nullptr;
@@ -218,76 +239,129 @@
   return connection;
 }
 
+// Guards against waits that add up: what stood in the queue when a connection that did not come up was begun has
+// waited as long for it, and is not made to wait for another.
+void Link::FailWaiting(std::size_t waiting) {
+  for (; waiting > 0 && !queue_.empty(); --waiting) {
+    core::AttemptKey key = queue_.front();
+    queue_.pop_front();
+    Finish(key, core::Cause::kConnectionLost);
+  }
+}
+
 void Link::ReadLoop(const std::shared_ptr<Connection>& connection) {
   std::unique_ptr<AnswerReader> reader = context_.dialect.Reader();
   std::string pending;
   std::vector<HolderAnswer> answers;
   Micros limit =
       static_cast<Micros>(kIdleShare * static_cast<double>(context_.limits.idle_close_us));
+  Micros heard_us = context_.clock.Now();
+  core::Cause cause = core::Cause::kConnectionLost;
   bool going = true;
   while (going) {
-    Io got = ReadSome(connection->fd, pending, kSlice);
+    Io got = ReadSome(connection->fd, pending, pending.empty() ? kSlice : kStall);
     std::lock_guard lock(mutex_);
     std::string oldest = connection->out.empty() ? std::string() : connection->out.front().first;
     answers.clear();
+    bool usable = true;
     try {
-      if (got == Io::kOk) going = reader->Take(pending, oldest, answers) && pending.size() <= kMaxPending;
+      if (got == Io::kOk) usable = reader->Take(pending, oldest, answers) && pending.size() <= kMaxPending;
       if (got == Io::kEnd) reader->End(oldest, answers);
     } catch (const std::exception& error) {
       log::Error("holder connection: {}", error.what());
+      usable = false;
+    }
+    Micros now = context_.clock.Now();
+    if (got == Io::kOk) heard_us = now;
+    // Guards against spoilt answers: once something came that cannot be used, was asked by nobody, or does not
+    // go on, nothing after it on this connection can be trusted, and all that is out there may have run.
+    for (HolderAnswer& answer : answers) usable = TakeAnswer(*connection, std::move(answer)) && usable;
+    usable = usable && (pending.empty() || now - heard_us < kStall);
+    if (!usable) {
+      cause = core::Cause::kSpoilt;
+      context_.counters.spoilt.Add();
       going = false;
     }
-    for (HolderAnswer& answer : answers) TakeAnswer(*connection, std::move(answer));
     if (got == Io::kEnd || got == Io::kError) going = false;
-    bool idle = connection->out.empty() && context_.clock.Now() - connection->used_us > limit;
+    bool idle = connection->out.empty() && now - connection->used_us > limit;
     if (idle || (connection->dead && connection->out.empty())) going = false;
   }
   std::lock_guard lock(mutex_);
-  Lost(connection);
+  Lost(connection, cause);
 }
 
-void Link::TakeAnswer(Connection& connection, HolderAnswer answer) {
+// False when it answers nothing that was asked on this connection.
+bool Link::TakeAnswer(Connection& connection, HolderAnswer answer) {
   connection.used_us = context_.clock.Now();
   auto found = std::ranges::find(connection.out, answer.id, &std::pair<std::string, core::AttemptKey>::first);
-  if (found == connection.out.end()) {
-    connection.withdrawn.erase(answer.id);
-    return;
-  }
+  if (found == connection.out.end()) return std::erase(connection.withdrawn, answer.id) > 0;
   core::AttemptKey key = found->second;
   connection.out.erase(found);
   auto attempt = live_.find(key);
   if (attempt != live_.end()) attempt->second.progress = core::Progress::kAnswering;
   Finish(key, answer.cause, std::move(answer));
+  return true;
 }
 
 // Ends all that is out on it, but what the writer is at: only the writer knows whether the last byte went.
-void Link::Lost(const std::shared_ptr<Connection>& connection) {
+void Link::Lost(const std::shared_ptr<Connection>& connection, core::Cause cause) {
   Retire(connection);
   context_.connections.fetch_sub(1);
   auto out = std::exchange(connection->out, {});
   for (const auto& [id, key] : out) {
     auto attempt = live_.find(key);
     if (attempt != live_.end() && attempt->second.progress != core::Progress::kPartlyWritten)
-      Finish(key, core::Cause::kConnectionLost);
+      Finish(key, cause);
   }
   wake_.notify_one();
 }
 
+HolderLinks::HolderLinks(const Dialect& dialect, const core::HolderDirectory& directory,
+                         const core::Clock& clock, const LinkLimits& limits, metrics::Counters& counters,
+                         ResultSink sink)
+    : context_{dialect, directory, clock, limits, counters, std::move(sink)},
+      burier_([this] { BuryLoop(); }) {}
+
+HolderLinks::~HolderLinks() {
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+    wake_.notify_one();
+  }
+  burier_.Join();
+}
+
 void HolderLinks::Start(core::AttemptOrder order) {
   auto& link = links_[order.holder];
-  if (link == nullptr) {
-    Sweep();
-    link = std::make_unique<Link>(context_, order.holder);
-  }
+  if (link == nullptr) link = std::make_unique<Link>(context_, order.holder);
   link->Start(std::move(order));
 }
 
-void HolderLinks::Sweep() {
-  if (links_.size() < kSweepFrom) return;
-  std::erase_if(links_, [this](const auto& one) {
-    return one.second != nullptr && context_.directory.Find(one.first).stop_sending_us > 0 &&
-           one.second->Unused();
-  });
+// Guards a long day, in which holders are replaced for ever, against a writer and connections for each of them.
+void HolderLinks::ForgetGone() {
+  std::lock_guard lock(mutex_);
+  for (auto one = links_.begin(); one != links_.end();) {
+    auto next = std::next(one);
+    core::HolderAddress holder = context_.directory.Find(one->first);
+    if ((holder.id.empty() || holder.stop_sending_us > 0) && one->second->Unused()) {
+      gone_.push_back(std::move(one->second));
+      links_.erase(one);
+      wake_.notify_one();
+    }
+    one = next;
+  }
+}
+
+// A link's end waits for its threads, which may be at a socket: not on the core's thread.
+void HolderLinks::BuryLoop() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    if (gone_.empty()) wake_.wait(lock);
+    auto buried = std::exchange(gone_, {});
+    lock.unlock();
+    buried.clear();
+    lock.lock();
+  }
 }
 
 void HolderLinks::Withdraw(const core::AttemptKey& key, const core::ReplicaId& holder, core::Cause cause) {
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -12,7 +12,6 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -88,7 +87,8 @@
     Micros used_us = 0;
     bool dead = false;  // nothing new goes on it
     std::deque<std::pair<std::string, core::AttemptKey>> out;
-    std::set<std::string> withdrawn;  // ids given up on it whose answers may still come
+    std::deque<std::string> withdrawn;  // ids given up on it whose answers may still come
+    bool given_up = false;              // too many of those: it takes nothing new
     Thread reader;
   };
   struct Attempt {
@@ -103,11 +103,13 @@
   void WriteGivenUp(std::unique_lock<std::mutex>& lock);
   std::shared_ptr<Connection> Pick(std::unique_lock<std::mutex>& lock, const std::string& id);
   std::shared_ptr<Connection> Open(std::unique_lock<std::mutex>& lock, const std::string& addr);
+  bool MayOpenAnother() const;
+  void FailWaiting(std::size_t waiting);
   bool Stale(const core::AttemptOrder& order) const;
   void Finish(const core::AttemptKey& key, core::Cause cause, HolderAnswer answer = {});
   void Retire(const std::shared_ptr<Connection>& connection);
-  void TakeAnswer(Connection& connection, HolderAnswer answer);
-  void Lost(const std::shared_ptr<Connection>& connection);
+  bool TakeAnswer(Connection& connection, HolderAnswer answer);
+  void Lost(const std::shared_ptr<Connection>& connection, core::Cause cause);
 
   LinkContext& context_;
   const core::ReplicaId holder_;
@@ -118,6 +120,7 @@
   std::deque<std::pair<std::shared_ptr<Connection>, std::string>> given_up_;
   std::map<core::AttemptKey, Attempt> live_;  // whoever takes an attempt out of here tells its end
   std::list<std::shared_ptr<Connection>> connections_;
+  bool slow_connect_ = false;  // the newest connection took long to come up, or did not
   Thread writer_;
 };
 
@@ -125,18 +128,24 @@
 class HolderLinks : public core::HolderTransport {
  public:
   HolderLinks(const Dialect& dialect, const core::HolderDirectory& directory, const core::Clock& clock,
-              const LinkLimits& limits, metrics::Counters& counters, ResultSink sink)
-      : context_{dialect, directory, clock, limits, counters, std::move(sink)} {}
+              const LinkLimits& limits, metrics::Counters& counters, ResultSink sink);
+  ~HolderLinks();
 
   void Start(core::AttemptOrder order) override;
   void Withdraw(const core::AttemptKey& key, const core::ReplicaId& holder, core::Cause cause) override;
   void CloseIdle(const core::ReplicaId& holder) override;
+  void ForgetGone() override;
 
  private:
-  void Sweep();
+  void BuryLoop();
 
   LinkContext context_;
   std::map<core::ReplicaId, std::unique_ptr<Link>> links_;  // the core's thread alone
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool stopping_ = false;
+  std::vector<std::unique_ptr<Link>> gone_;  // to be ended; that waits for their threads
+  Thread burier_;
 };
 
 }  // namespace liftrudder::net
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -71,6 +71,11 @@
   return nullptr;
 }
 
+std::size_t HttpMessage::Count(std::string_view name) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(headers, [name](const auto& one) { return SameName(one.first, name); }));
+}
+
 std::string_view HttpMessage::Path() const { return std::string_view(target).substr(0, target.find('?')); }
 
 std::optional<std::string_view> HttpMessage::Parameter(std::string_view name) const {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -21,6 +21,7 @@
   std::string body;
   bool close = false;  // the other side wants the connection closed after this
   const std::string* Header(std::string_view name) const;
+  std::size_t Count(std::string_view name) const;
   std::string_view Path() const;
   // The value of a query parameter in the target, as it stands there.
   std::optional<std::string_view> Parameter(std::string_view name) const;
--- a/src/platform/frames.cpp
+++ b/src/platform/frames.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kMaxFrame = 128 * 1024;
+constexpr std::string_view kLetters = "aple";  // what a holder may say
 
 std::string Frame(char letter, std::string_view rest) {
   std::string out;
@@ -41,6 +42,9 @@
     std::string_view rest = in;
     bool usable = true;
     while (usable && rest.size() >= 4) {
+      // Noise is seen at its first byte, not when as much of it has come as it seems to promise.
+      if (rest.size() > 4 && kLetters.find(rest[4]) == std::string_view::npos) usable = false;
+      if (!usable) break;
       std::size_t size = 0;
       for (std::size_t i = 4; i-- > 0;) size = size << 8 | static_cast<unsigned char>(rest[i]);
       if (size == 0 || size > kMaxFrame) return false;
@@ -78,18 +82,20 @@
     return true;
   }
 
+  // Guards against a report that cannot be read: it says nothing, rather than that the holder is idle.
   std::vector<double> Report(std::string_view text) const {
-    std::vector<double> load;
-    if (text.empty() || text == "-") return load;
-    load.assign(load_names_.size(), 0);
+    std::vector<double> load(load_names_.size(), -1);
+    if (text.ends_with(',')) return {};
     while (!text.empty()) {
       std::string_view pair = Word(text, ',');
       std::string_view name = Known(Word(pair, '='));
+      double value = 0;
+      auto [end, error] = std::from_chars(pair.data(), pair.data() + pair.size(), value);
+      if (error != std::errc() || end != pair.data() + pair.size() || !(value >= 0 && value < 1e9)) return {};
       auto found = std::ranges::find(load_names_, name);
-      if (found == load_names_.end()) continue;
-      std::from_chars(pair.data(), pair.data() + pair.size(),
-                      load[static_cast<std::size_t>(found - load_names_.begin())]);
+      if (found != load_names_.end()) load[static_cast<std::size_t>(found - load_names_.begin())] = value;
     }
+    if (std::ranges::any_of(load, [](double value) { return value < 0; })) return {};
     return load;
   }
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <set>
 
 #include "net/json.h"
@@ -15,6 +16,8 @@
 
 constexpr std::size_t kMaxParts = 1000;
 constexpr std::size_t kMaxName = 128;
+constexpr double kWeightSlack = 1e-3;     // weights sum to 1 but for what rounding takes off each of them
+constexpr double kWeightRounding = 1e-4;
 constexpr core::Micros kLastMoment = 5'000;  // before the client's time is up, should the core be busy
 constexpr core::Micros kBusyRetryUs = 200'000;
 
@@ -50,19 +53,39 @@
   return out;
 }
 
+// Guards against members that are there twice: one side would read the first, another the last.
+bool Once(std::string_view& place, std::string_view value) {
+  return place.empty() && !(place = value).empty();
+}
+
 bool ReadPart(std::string_view text, core::PartRequest& part) {
-  auto shard = json::Integer(json::Get(text, "tablet"));
-  auto weight = json::Number(json::Get(text, "fraction"));
-  if (!shard || !weight || *shard < 0 || *shard > INT32_MAX || *weight < 0 || *weight > 1) return false;
+  std::string_view tablet, fraction, guess, token;
+  bool ok = json::Members(text, [&](std::string_view name, std::string_view value) {
+    if (name == "tablet") return Once(tablet, value);
+    if (name == "fraction") return Once(fraction, value);
+    if (name == "guess") return Once(guess, value);
+    return name != "token" || Once(token, value);
+  });
+  auto shard = json::Integer(tablet);
+  auto weight = json::Number(fraction);
+  if (!ok || !shard || !weight || *shard < 0 || *shard > INT32_MAX || *weight < 0 || *weight > 1) return false;
   part.shard = static_cast<int>(*shard);
   part.weight = *weight;
-  if (auto guess = json::Number(json::Get(text, "guess")))
-    part.work_us = static_cast<core::Micros>(std::clamp(*guess, 0.0, 1e9));
-  if (auto token = json::RawString(json::Get(text, "token")))
-    std::from_chars(token->data(), token->data() + token->size(), part.key, 16);
+  if (!guess.empty()) {
+    auto work_us = json::Number(guess);
+    if (!work_us || *work_us < 0) return false;
+    part.work_us = static_cast<core::Micros>(std::min(*work_us, 1e9));
+  }
+  if (auto digits = json::RawString(token))
+    std::from_chars(digits->data(), digits->data() + digits->size(), part.key, 16);
   return true;
 }
 
+// The header's value; nothing when it is not there, or there twice.
+const std::string* Only(const net::HttpMessage& request, std::string_view name) {
+  return request.Count(name) == 1 ? request.Header(name) : nullptr;
+}
+
 }  // namespace
 
 net::HttpResponse Front::Malformed() { return Problem(400, "the request cannot be read"); }
@@ -85,14 +108,14 @@
 
 std::optional<core::QueryRequest> Front::Read(const net::HttpMessage& request,
                                               core::Micros received_us) const {
-  const std::string* id = request.Header("X-Call-Id");
-  const std::string* name = request.Header("X-Call-Class");
-  const std::string* budget = request.Header("X-Budget");
-  const std::string* key = request.Header("Idempotency-Key");
+  const std::string* id = Only(request, "X-Call-Id");
+  const std::string* name = Only(request, "X-Call-Class");
+  const std::string* budget = Only(request, "X-Budget");
+  const std::string* key = Only(request, "Idempotency-Key");
   if (id == nullptr || name == nullptr || budget == nullptr || !Plain(*id)) return std::nullopt;
   auto seconds = json::Number(*budget);
   auto found = std::ranges::find(config_.classes, *name);
-  if (!seconds || *seconds < 0 || *seconds > 3600 || found == config_.classes.end()) return std::nullopt;
+  if (!seconds || *seconds <= 0 || *seconds > 3600 || found == config_.classes.end()) return std::nullopt;
   core::QueryRequest query;
   query.class_index = static_cast<int>(found - config_.classes.begin());
   query.deadline_us = received_us + static_cast<core::Micros>(*seconds * 1e6);
@@ -105,38 +128,57 @@
     if (key == nullptr || !Plain(*key)) return std::nullopt;
     payload.dedup_key = *key;
   }
-  std::string_view tablets;
-  std::optional<std::string_view> statement;
+  std::string_view tablets, text;
   bool ok = json::Members(request.body, [&](std::string_view member, std::string_view value) {
-    if (member == "tablets") tablets = value;
-    if (member == "statement") statement = json::RawString(value);
-    return true;
+    if (member == "tablets") return Once(tablets, value);
+    return member != "statement" || Once(text, value);
   });
+  auto statement = json::RawString(text);
   if (!ok || !statement) return std::nullopt;
   payload.statement = *statement;
+  double sum = 0;
   std::set<int> shards;
   ok = json::Elements(tablets, [&](std::string_view text) {
     core::PartRequest part;
     if (!ReadPart(text, part) || part.shard >= config_.settings.shards) return false;
     if (!shards.insert(part.shard).second || query.parts.size() >= kMaxParts) return false;
     query.parts.push_back(part);
+    sum += part.weight;
     return true;
   });
-  if (!ok || query.parts.empty()) return std::nullopt;
+  // Guards answers in part: what share of the whole a part is can be told only when all of them make one.
+  double slack = kWeightSlack + kWeightRounding * static_cast<double>(query.parts.size());
+  if (!ok || query.parts.empty() || std::abs(sum - 1) > slack) return std::nullopt;
   query.payload = std::make_shared<const core::Payload>(std::move(payload));
   return query;
 }
 
-std::optional<net::HttpResponse> Front::Query(const net::HttpMessage& request,
-                                              const net::Exchange& exchange) {
+std::optional<net::HttpResponse> Front::Query(net::HttpMessage& request, const net::Exchange& exchange) {
   auto query = Read(request, exchange.received_us);
   if (!query) {
     counters_.malformed.Add();
     return Malformed();
   }
-  core::Micros deadline_us = query->deadline_us;
+  request.body = std::string();  // all that is needed of it has been taken out
+  // Guards the ids of parts, which are made from the query's: of two open queries they must differ.
+  std::string id = query->payload->call_id;
+  {
+    std::lock_guard lock(mutex_);
+    if (!open_.insert(id).second) {
+      counters_.malformed.Add();
+      return Problem(409, "a query with this id is open");
+    }
+  }
+  auto response = Ask(std::move(*query), exchange);
+  std::lock_guard lock(mutex_);
+  open_.erase(id);
+  return response;
+}
+
+std::optional<net::HttpResponse> Front::Ask(core::QueryRequest query, const net::Exchange& exchange) {
+  core::Micros deadline_us = query.deadline_us;
   auto reply = std::make_shared<net::WaitingReply>();
-  auto id = core_.Admit(std::move(*query), reply);
+  auto id = core_.Admit(std::move(query), reply);
   if (!id) return Refusal(503, kBusyRetryUs, "too many queries are open");
   switch (reply->Wait(exchange.client, clock_, deadline_us - kLastMoment)) {
     case net::WaitingReply::End::kGone:
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -2,6 +2,10 @@
 #ifndef LIFTRUDDER_PLATFORM_FRONT_H_
 #define LIFTRUDDER_PLATFORM_FRONT_H_
 
+#include <mutex>
+#include <set>
+#include <string>
+
 #include "config/config.h"
 #include "core/core.h"
 #include "net/server.h"
@@ -18,7 +22,8 @@
   net::HttpResponse Overloaded() override;
 
  private:
-  std::optional<net::HttpResponse> Query(const net::HttpMessage& request, const net::Exchange& exchange);
+  std::optional<net::HttpResponse> Query(net::HttpMessage& request, const net::Exchange& exchange);
+  std::optional<net::HttpResponse> Ask(core::QueryRequest query, const net::Exchange& exchange);
   // Nothing when the request is not one; `statement` and key stay as they came.
   std::optional<core::QueryRequest> Read(const net::HttpMessage& request, core::Micros received_us) const;
 
@@ -26,6 +31,8 @@
   core::Core& core_;
   const core::Clock& clock_;
   metrics::Counters& counters_;
+  std::mutex mutex_;
+  std::set<std::string> open_;  // call ids of the queries that are open
 };
 
 }  // namespace liftrudder::platform
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -138,6 +138,7 @@
   bool lost = false;   // its process was lost unannounced, and that was counted
   Micros trial_us = 0;
   double trial_turn = 0, trial_factor = 1;
+  bool Over() const { return told.availability == Availability::kGone && out.empty(); }
 };
 
 struct Zone {                              // as seen over the way from here
@@ -278,7 +279,7 @@
       std::set<ReplicaId> named;
       for (const Replica& replica : news.replicas) named.insert(replica.id);
       for (auto& [id, server] : servers) {
-        if (!named.contains(id)) server.usable = false;
+        if (!named.contains(id)) server.told.availability = Availability::kGone, server.usable = false;
       }
     }
     for (const Replica& replica : news.replicas) {
@@ -301,6 +302,8 @@
         server.cold_seen = warm_sent;
       }
     }
+    // A long day replaces them all many times over, and does not grow with them.
+    std::erase_if(servers, [](const auto& one) { return one.second.Over(); });
     holders.assign(static_cast<std::size_t>(s.cells), {});
     for (auto& [id, server] : servers) {
       auto cell = static_cast<std::size_t>(server.told.cell);
@@ -770,8 +773,7 @@
   }
 
   void CancelOut(Part& part) {
-    if (!s.may_cancel) return;
-    for (std::size_t a = 0; a < part.attempts.size(); ++a) {
+    for (std::size_t a = 0; s.may_cancel && a < part.attempts.size(); ++a) {
       if (part.attempts[a].out) out->push_back(Cancel{part.id, static_cast<int>(a)});
     }
   }
@@ -909,8 +911,7 @@
     if (timer.label == kAskLabel) return out->push_back(Subscribe{});
     timer_set = false;
   }
-  template <typename Other>
-  void operator()(const Other&) {}  // asked for nowhere
+  void operator()(const auto&) {}  // asked for nowhere
 
   void Handle(Micros at, std::span<const Event> events, std::vector<Action>& actions) {
     now = at;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -8,6 +8,7 @@
 #include "net/http.h"
 #include "net/json.h"
 #include "opensearch/merge.h"
+#include "platform/frames.h"
 
 using namespace liftrudder;
 using core::Cause;
@@ -19,6 +20,7 @@
   CHECK(core::OutcomeOf(Progress::kNotConnected, Cause::kConnectionLost) == OutcomeCode::kConnectFailed);
   CHECK(core::OutcomeOf(Progress::kPartlyWritten, Cause::kConnectionLost) == OutcomeCode::kConnectFailed);
   CHECK(core::OutcomeOf(Progress::kWhollyWritten, Cause::kConnectionLost) == OutcomeCode::kReset);
+  CHECK(core::OutcomeOf(Progress::kWhollyWritten, Cause::kSpoilt) == OutcomeCode::kError);
   CHECK(core::OutcomeOf(Progress::kNotConnected, Cause::kWithdrawn) == OutcomeCode::kMoot);
   CHECK(core::OutcomeOf(Progress::kPartlyWritten, Cause::kWithdrawn) == OutcomeCode::kCancelled);
   CHECK(core::OutcomeOf(Progress::kNotConnected, Cause::kExpired) == OutcomeCode::kMoot);
@@ -66,6 +68,36 @@
   CHECK(directory.Find(known->replicas[1].id).stop_sending_us > 0);  // left out of a whole list: gone
 }
 
+TEST_CASE("a holder that is gone for long is forgotten, and is another one when it comes back") {
+  core::Directory directory(tinsail::Settings{});
+  core::HolderEntry a{"a", "127.0.0.1:1", {}}, gone = a;
+  gone.told.availability = tinsail::Availability::kGone;
+  auto id = directory.Apply({1, tinsail::ListKind::kFull, {a}}, 10)->replicas[0].id;
+  directory.Apply({2, tinsail::ListKind::kDelta, {gone}}, 20);
+  CHECK(directory.Find(id).id == "a");
+  directory.Apply({3, tinsail::ListKind::kDelta, {}}, 60'000'000);
+  CHECK(directory.Find(id).id.empty());
+  CHECK_FALSE(directory.Apply({2, tinsail::ListKind::kDelta, {a}}, 60'000'001));
+  CHECK(directory.Apply({4, tinsail::ListKind::kDelta, {a}}, 60'000'002)->replicas[0].id != id);
+}
+
+TEST_CASE("a load report that cannot be read says nothing") {
+  platform::FrameDialect dialect({"q", "rif"});
+  auto load = [&dialect](const std::string& report) {
+    std::string rest = "ax.1 served 7 " + report + "\nv", in{static_cast<char>(rest.size()), 0, 0, 0};
+    in += rest;
+    std::vector<net::HolderAnswer> out;
+    CHECK(dialect.Reader()->Take(in, "", out));
+    return out.at(0).load;
+  };
+  CHECK(load("queue=3,inflight=2,other=1") == std::vector<double>{3, 2});
+  for (const char* bad : {"-", "", "queue=3", "queue=x,inflight=2", "queue=3,inflight=", "queue=-1,inflight=2",
+                          "queue=3,inflight=2,", "queue=nan,inflight=2", "\x01\xff"}) {
+    INFO(bad);
+    CHECK(load(bad).empty());
+  }
+}
+
 TEST_CASE("HTTP is read whole however it is cut, and strictly") {
   std::string text = "POST /x?a=1&b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e\r\nde\r\n0\r\n\r\n";
   HttpParser parser(HttpParser::Kind::kRequest);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -401,6 +401,27 @@
 }
 
 // Incident i6a266a: an answer now and then among errors is no recovery.
+TEST(Forgotten, AReplicaThatIsGoneAndComesBackIsAnother) {
+  Bench bench;
+  bench.Calm(40);
+  for (int errors = 0; errors < 2;) {
+    Id id = bench.next_id++;
+    bench.Ask(id, kWhole, {1});
+    bool bad = bench.Where(id * 100).address == 2;
+    bench.End(id * 100, 0, bad ? OutcomeCode::kError : OutcomeCode::kOk);
+    errors += bad;
+    bench.EndAll();
+  }
+  for (Availability how : {Availability::kGone, Availability::kReady})
+    bench.Do(ListNews{ListKind::kDelta, 2, {Bench::Member(2, how)}});
+  std::set<ReplicaId> used;
+  for (int i = 0; i < 4; ++i) {
+    bench.Ask(bench.next_id++, kWhole, {1});
+    used.insert(bench.Where((bench.next_id - 1) * 100));
+  }
+  EXPECT_TRUE(used.contains(Bench::Member(2).id));
+}
+
 TEST(FastErrors, OneAnswerAmongErrorsIsNoRecovery) {
   Bench bench;
   bench.Calm(40);
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -106,6 +106,7 @@
   std::list<Line> lines;
   std::deque<std::pair<Line*, std::string>> came;
   Line* last = nullptr;  // whose message was expected last
+  std::map<std::string, Line*> asked;  // where a part was asked for last, by its id
 };
 
 class Player {
@@ -151,7 +152,14 @@
       Write(Client(who), Request(method, target, "", Plain(body)));
     } else if (verb == "send") {
       bool holder = holders_.contains(Name(who));
-      Write(holder ? *holders_.at(Name(who)).last : Client(who), holder ? Framed(Plain(rest)) : Plain(rest));
+      Write(holder ? Asked(holders_.at(Name(who)), rest) : Client(who), holder ? Framed(Plain(rest)) : Plain(rest));
+    } else if (verb == "bytes") {
+      Write(*holders_.at(Name(who)).last, Plain(rest));
+    } else if (verb == "post") {
+      std::string id;
+      words >> id;
+      std::getline(words >> std::ws, rest);
+      Write(Client(who), Request("POST", "/api", Headers(id, "whole", "8"), rest));
     } else if (verb == "flood") {
       std::size_t size = 0;
       words >> size;
@@ -334,6 +342,10 @@
            std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
+  static std::string Headers(const std::string& id, const std::string& grade, const std::string& budget) {
+    return "X-Call-Id: " + id + "\r\nX-Call-Class: " + grade + "\r\nX-Budget: " + budget + "\r\n";
+  }
+
   void Query(const std::string& who, std::istringstream& words) {
     std::string id, grade, budget, shards, key;
     words >> id >> grade >> budget >> shards >> key;
@@ -343,11 +355,17 @@
     for (std::string shard; std::getline(list, shard, ',');) all.push_back(shard);
     for (const std::string& shard : all)
       body["tablets"].push_back({{"tablet", std::stoi(shard)}, {"fraction", 1.0 / static_cast<double>(all.size())}});
-    std::string headers = "X-Call-Id: " + id + "\r\nX-Call-Class: " + grade + "\r\nX-Budget: " + budget + "\r\n";
+    std::string headers = Headers(id, grade, budget);
     if (!key.empty()) headers += "Idempotency-Key: " + key + "\r\n";
     Write(Client(who), Request("POST", "/api", headers, body.dump()));
   }
 
+  // An answer goes where its part was asked for, anything else where the last message came from.
+  static Line& Asked(Peer& peer, const std::string& frame) {
+    auto found = peer.asked.find(frame.substr(1, frame.find(' ') - 1));
+    return frame.starts_with('a') && found != peer.asked.end() ? *found->second : *peer.last;
+  }
+
   Line& Client(const std::string& who) {
     Peer& peer = clients_[who];
     if (peer.lines.empty() || peer.lines.back().ended) {
@@ -384,6 +402,7 @@
     auto [line, text] = peer->came.front();
     peer->came.pop_front();
     peer->last = line;
+    if (text.starts_with('q')) peer->asked[text.substr(1, text.find(' ') - 1)] = line;
     last_ = text;
     if (!Matches(Plain(glob), text)) throw std::runtime_error("came: " + text);
   }
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -6,8 +6,10 @@
 //   update C VERB HOLDER     client C adds or removes a holder by dynamic update; expect C "rcode 0"
 //   start platform|search    start the program and wait until it is ready
 //   query C ID CLASS BUDGET SHARDS [KEY]   client C posts a platform query for shards such as 0,1
+//   post C ID BODY           client C posts any body in the class `whole`, within 8 s
 //   http C METHOD TARGET [BODY]            client C sends any request with a body's length
 //   send X TEXT              bytes on X's connection, \r \n \xNN understood; on a holder: one frame
+//   bytes X TEXT             bytes as they are on the connection of a holder's last message
 //   flood C SIZE TEXT        client C sends the bytes and then so many more, whatever is answered meanwhile
 //   reply X STATUS BODY      a holder answers the request it took last, in HTTP
 //   list NAME STATE          discovery tells of a holder: ready, draining or gone
