One thread watches connections without a request; idle ones end sooner near clients' share

Probes (counters each second, what is asked on each connection, what is closed for room) showed: the missing tries never came to a node; crowds ask GET /-/ready and stay, others connect and say nothing; real first bytes come within 5 ms of connecting; a thread a connection costs switches each time the process is held to its part of a core (perf: a fifth of our samples in the handling of stop signals). Cause: connections that had been answered were kept idle for 5 s (server.cpp, kIdleWait); clients may hold a third of the descriptors, so those that stay kept the next ones out. Now 2 s, and the longest idle go sooner (0.2 s) once the served hold half of that share.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -79,15 +79,16 @@
   // Kept back: standard streams, listener, discovery's old and new watch, the clients that are just being
   // ended or turned away, and what is being accepted just now.
   constexpr int kReserve = 48;
-  // A connection's thread touches some 24 KiB of its stack and, when a request is as large as it may be, as
-  // much again as that: 128 KiB at the most. A third of the memory stays with the core, its queue and the
-  // allocator.
-  constexpr int kPerMb = 8;
+  // A connection's thread touches some 20 KiB of its stack; a head and a body as large as they may be are 80
+  // KiB more. A third of the memory stays with the core, its queue and the allocator.
+  constexpr int kPerMb = 10;
   int descriptors = std::max(16, sockets - kReserve);
   int threads = std::max(16, memory_mb * kPerMb * 2 / 3);
   Budget budget;
-  budget.holder_connections = std::min(descriptors * 2 / 5, threads * 2 / 5);
-  budget.client_connections = std::min(descriptors - budget.holder_connections, threads * 3 / 5);
+  int all = std::min(descriptors, threads);
+  // A third of the limit may be held by requests alone, and the mute ones and the idle come on top of that.
+  budget.holder_connections = all / 4;
+  budget.client_connections = all - budget.holder_connections;
   budget.client_requests = std::min(budget.client_connections, std::max(4, sockets / 3));
   return budget;
 }
@@ -117,6 +118,7 @@
   std::string_view limits = json::Get(text, "limits");
   out.budget = ShareOut(static_cast<int>(IntegerOr(limits, "sockets", 1024)),
                         static_cast<int>(IntegerOr(limits, "memory_mb", 192)));
+  out.cores = json::Number(json::Get(limits, "cores")).value_or(out.cores);
   std::string_view known = json::Get(text, "known");
   if (!known.empty()) out.known = ParseHolders(known, out);
   out.known.kind = tinsail::ListKind::kCached;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -26,6 +26,7 @@
   tinsail::Micros connect_timeout_us = 250'000;
   tinsail::Micros idle_close_us = 30'000'000;
   int streams_per_connection = 100;
+  double cores = 1;
   core::HolderList known;
   Budget budget;
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -106,6 +106,9 @@
       front = std::make_unique<lr::opensearch::Front>(config, *options, core, clock, counters);
     }
     lr::net::Fd listener = NeedListener(config.listen);
+    lr::log::Info("room for {} connections of clients, {} with requests, and {} to holders; {} of a core",
+                  config.budget.client_connections, config.budget.client_requests,
+                  config.budget.holder_connections, config.cores);
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
     lr::net::Server server(std::move(listener), *front, clock, counters,
                            {config.budget.client_connections, config.budget.client_requests});
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -1,25 +1,33 @@
 #include "net/server.h"
 
+#include <sys/epoll.h>
+
 #include <algorithm>
 #include <chrono>
 #include <exception>
+#include <tuple>
 
 #include "log/log.h"
 
 namespace liftrudder::net {
 namespace {
 
-constexpr Micros kSlice = 100'000;          // how soon the accept thread sees that it is to end
+constexpr int kSliceMs = 100;               // how often the door looks for what is overdue at least,
+constexpr Micros kLook = 20'000;            // and at most
 constexpr Micros kFirstWait = 2'000'000;    // from connecting to the end of the first request: 3 s are owed
 constexpr Micros kRequestWait = 2'000'000;  // for the rest of a later request that has begun
-constexpr Micros kIdleWait = 5'000'000;
+constexpr Micros kIdleWait = 2'000'000;
+constexpr Micros kShortIdle = 200'000;  // and no longer than this while clients hold most of what they may
 constexpr Micros kWriteWait = 2'000'000;
 constexpr Micros kLookWait = 250'000;  // how soon a client that has gone is seen while its answer is out
 // Near the cap connections are closed that have stood idle, or mute, for longer than this; at the cap any.
 constexpr Micros kOldIdle = 2'000'000;
 constexpr Micros kOldMute = 500'000;
-constexpr int kEnding = 16;     // connections told to end that may be open beside the cap
-constexpr int kLingering = 20;  // connections ended by us that are read to their end
+constexpr Micros kYoung = 50'000;  // a new connection may be silent for so long and count as any other
+constexpr std::chrono::seconds kWorkerWait(2);
+constexpr int kLingering = 20;             // connections ended by us that are read to their end
+constexpr int kAtOnce = 64;                // connections taken, and events, in one turn
+constexpr std::size_t kMostRead = 131072;  // bytes of one client in one turn
 
 }  // namespace
 
@@ -31,7 +39,11 @@
       counters_(counters),
       limits_(limits),
       lingerer_(kLingering),
-      accept_thread_([this] { AcceptLoop(); }) {}
+      epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+  epoll_event event{EPOLLIN, {nullptr}};
+  ::epoll_ctl(epoll_.Get(), EPOLL_CTL_ADD, listener_.Get(), &event);
+  door_ = Thread([this] { WatchDoor(); });
+}
 
 Server::~Server() {
   Drain();
@@ -40,162 +52,272 @@
 }
 
 void Server::StopListening() {
-  stopping_ = true;
-  accept_thread_.Join();
-  listener_ = Fd();
-  // Those between requests wait in a read: they are woken; what has come by now is still answered.
-  std::lock_guard lock(mutex_);
-  for (const Session& session : sessions_) {
-    if (session.phase != Phase::kBusy) ShutDownReading(session.fd);
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
   }
+  door_.Join();
+  listener_ = Fd();
+  work_.notify_all();
 }
 
 bool Server::WaitClosed(Micros wait_us) {
   std::unique_lock lock(mutex_);
-  return left_.wait_for(lock, std::chrono::microseconds(wait_us), [this] { return sessions_.empty(); });
+  return left_.wait_for(lock, std::chrono::microseconds(wait_us),
+                        [this] { return sessions_.empty() && workers_ == 0; });
 }
 
-void Server::AcceptLoop() {
+void Server::WatchDoor() {
   while (!stopping_) {
-    Fd client = Accept(listener_, kSlice);
-    if (!client.Valid()) continue;
-    auto place = Enter(client.Get());
-    if (!place) {
+    epoll_event events[kAtOnce];
+    int got = ::epoll_wait(epoll_.Get(), events, kAtOnce, kSliceMs);
+    bool knock = false;
+    for (int i = 0; i < got; ++i) {
+      // Connections end others only after this loop: an event's session is there when its turn comes.
+      if (events[i].data.ptr == nullptr) {
+        knock = true;
+      } else {
+        Receive(static_cast<Session*>(events[i].data.ptr)->self);
+      }
+    }
+    if (knock) TakeIn();
+    EndOverdue(clock_.Now());
+  }
+  // What has come by now is still answered; the others have no request open.
+  std::vector<Place> waiting;
+  {
+    std::lock_guard lock(mutex_);
+    for (Place place = sessions_.begin(); place != sessions_.end(); ++place) {
+      if (place->phase != Phase::kBusy) waiting.push_back(place);
+    }
+  }
+  for (Place place : waiting) {
+    Receive(place);
+  }
+  std::lock_guard lock(mutex_);
+  for (Place place = sessions_.begin(); place != sessions_.end();) {
+    Place next = std::next(place);
+    if (place->phase != Phase::kBusy) sessions_.erase(place);
+    place = next;
+  }
+  left_.notify_all();
+}
+
+void Server::TakeIn() {
+  for (int i = 0; i < kAtOnce; ++i) {
+    Fd client = Accept(listener_, 0);
+    if (!client.Valid()) return;
+    Micros now = clock_.Now();
+    if (!MakeRoom(now)) {
       TurnAway(std::move(client));
       continue;
     }
-    auto owned = std::make_shared<Fd>(std::move(client));
-    if (Detach([this, owned, place = *place] {
-          bool answered = Serve(*owned, place);
-          Release(place);
-          if (answered) lingerer_.Take(std::move(*owned));
-          *owned = Fd();
-          Leave(place);
-        })) {
-      continue;
+    Place place;
+    {
+      std::lock_guard lock(mutex_);
+      place = sessions_.emplace(sessions_.end());
     }
-    Release(*place);
-    TurnAway(std::move(*owned));
-    Leave(*place);
+    place->self = place;
+    place->fd = std::move(client);
+    place->since_us = now;
+    place->until_us = now + kFirstWait;
+    Arm(place, true);
   }
 }
 
+void Server::Arm(Place place, bool first) {
+  epoll_event event{EPOLLIN | EPOLLRDHUP | EPOLLONESHOT, {&*place}};
+  ::epoll_ctl(epoll_.Get(), first ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, place->fd.Get(), &event);
+}
+
 void Server::TurnAway(Fd client) {
   counters_.turned_away.Add();
   WriteAll(client, Format(handler_.Overloaded(), true), 0);
   lingerer_.Take(std::move(client));
 }
 
-// Guards against connections held for nothing: mute ones, and those of clients that asked once and stay.
-void Server::MakeRoom(Micros now) {
-  int open = static_cast<int>(sessions_.size()) - told_;
-  if (open < limits_.connections * 3 / 4) return;
+Fd Server::Remove(Place place) {
+  std::lock_guard lock(mutex_);
+  Fd fd = std::move(place->fd);
+  busy_ -= place->phase == Phase::kBusy ? 1 : 0;
+  sessions_.erase(place);
+  left_.notify_all();
+  return fd;
+}
+
+// The last answer on it: what the client has written meanwhile must not turn that into a reset.
+void Server::Refuse(Place place, const HttpResponse& response) {
+  WriteAll(place->fd, Format(response, true), 0);
+  lingerer_.Take(Remove(place));
+}
+
+// Guards against connections held for nothing: mute ones, and those of clients that asked once and stay. Mute
+// ones go first, also in a flood of them: a client whose connection is taken from it comes back and adds to
+// the flood. One on which bytes wait is about to be used.
+bool Server::MakeRoom(Micros now) {
   auto worst = sessions_.end();
-  auto rank = [&](const Session& session) {
+  auto rank = [now](const Session& session) {
     bool idle = session.phase == Phase::kIdle;
     bool old = now - session.since_us > (idle ? kOldIdle : kOldMute);
-    // An idle client asks again elsewhere when its request crosses the end; a new one's first would fail.
-    return std::pair(old, std::pair(idle, now - session.since_us));
+    bool mute = !idle && now - session.since_us > kYoung;
+    return std::tuple(old, mute, idle, now - session.since_us);
   };
-  for (auto one = sessions_.begin(); one != sessions_.end(); ++one) {
-    if (one->phase == Phase::kBusy || one->told) continue;
-    if (worst == sessions_.end() || rank(*one) > rank(*worst)) worst = one;
+  bool full = false;
+  {
+    std::lock_guard lock(mutex_);
+    int open = static_cast<int>(sessions_.size());
+    if (open < limits_.connections * 3 / 4) return true;
+    full = open >= limits_.connections;
+    for (Place one = sessions_.begin(); one != sessions_.end(); ++one) {
+      if (one->phase == Phase::kBusy || (worst != sessions_.end() && rank(*one) <= rank(*worst))) continue;
+      if (Peek(one->fd.Get()) != Sight::kBytes) worst = one;
+    }
   }
-  if (worst == sessions_.end() || (open < limits_.connections && !rank(*worst).first)) return;
-  worst->told = true;
-  ++told_;
+  if (worst == sessions_.end()) return !full;
+  if (!full && !std::get<0>(rank(*worst))) return true;
   counters_.evicted.Add();
-  ShutDownReading(worst->fd);
+  Remove(worst);
+  return true;
 }
 
-std::optional<Server::Place> Server::Enter(int fd) {
-  std::lock_guard lock(mutex_);
-  Micros now = clock_.Now();
-  MakeRoom(now);
-  int open = static_cast<int>(sessions_.size());
-  if (open - told_ >= limits_.connections || open >= limits_.connections + kEnding) return std::nullopt;
-  sessions_.push_back({fd, Phase::kNew, now, false});
-  return std::prev(sessions_.end());
+// Guards against clients that say nothing or never come to an end: a new connection owes its first request
+// soon after connecting, later ones once they have begun. And against clients that ask once and stay: they
+// may hold only as many connections as requests, and idle ones would keep the next ones out.
+void Server::EndOverdue(Micros now) {
+  if (now - looked_us_ < kLook) return;
+  looked_us_ = now;
+  std::vector<Place> overdue, idle;
+  {
+    std::lock_guard lock(mutex_);
+    int served = 0;
+    for (Place one = sessions_.begin(); one != sessions_.end(); ++one) {
+      served += one->phase != Phase::kNew ? 1 : 0;
+      if (one->phase == Phase::kBusy) continue;
+      if (now >= one->until_us) {
+        overdue.push_back(one);
+      } else if (one->phase == Phase::kIdle && one->received_us == 0 && now - one->since_us > kShortIdle) {
+        idle.push_back(one);
+      }
+    }
+    std::ranges::sort(idle, {}, [](Place one) { return one->since_us; });
+    idle.resize(std::min(idle.size(), static_cast<std::size_t>(std::max(0, served - limits_.requests / 2))));
+  }
+  counters_.evicted.Add(static_cast<std::int64_t>(idle.size()));
+  overdue.insert(overdue.end(), idle.begin(), idle.end());
+  for (Place place : overdue) {
+    if (place->received_us == 0) {
+      Remove(place);
+      continue;
+    }
+    counters_.malformed.Add();
+    HttpResponse late = handler_.Malformed();
+    late.status = 408;
+    Refuse(place, late);
+  }
 }
 
-// False when as many requests are read or answered as may be.
-bool Server::Turn(Place place, Phase phase) {
-  std::lock_guard lock(mutex_);
-  if (phase == Phase::kBusy && place->phase != Phase::kBusy && busy_ >= limits_.requests) return false;
-  busy_ += (phase == Phase::kBusy ? 1 : 0) - (place->phase == Phase::kBusy ? 1 : 0);
-  place->phase = phase;
-  place->since_us = clock_.Now();
-  if (phase == Phase::kIdle && stopping_) ShutDownReading(place->fd);
-  return true;
+void Server::Receive(Place place) try {
+  std::size_t taken = 0;
+  while (true) {
+    Io got = ReadSome(place->fd, place->pending, 0);
+    if (got == Io::kTimeout) return Arm(place, false);
+    if (got != Io::kOk) return static_cast<void>(Remove(place));
+    if (place->received_us == 0) {
+      place->received_us = clock_.Now();
+      if (place->phase == Phase::kIdle) place->until_us = place->received_us + kRequestWait;
+    }
+    taken += place->pending.size();
+    HttpParser::State state = place->parser.Feed(place->pending);
+    // One request at a time: of a flood written at once none is begun.
+    bool done = state == HttpParser::State::kDone;
+    bool more = done && (!place->pending.empty() || Peek(place->fd.Get()) == Sight::kBytes);
+    if (state == HttpParser::State::kBad || more) {
+      counters_.malformed.Add();
+      return Refuse(place, handler_.Malformed());
+    }
+    if (done) return HandOver(place);
+    if (taken > kMostRead) return Arm(place, false);
+  }
+} catch (const std::exception& error) {
+  log::Error("client connection: {}", error.what());
+  Remove(place);
 }
 
-// Guards a connection that takes over this one's descriptor from being told to end in its place.
-void Server::Release(Place place) {
-  std::lock_guard lock(mutex_);
-  place->fd = -1;
+void Server::HandOver(Place place) {
+  std::unique_lock lock(mutex_);
+  bool room = busy_ < limits_.requests;
+  if (room && idle_workers_ <= static_cast<int>(ready_.size())) {
+    room = Detach([this] { Work(); });
+    workers_ += room ? 1 : 0;
+  }
+  if (room) {
+    ++busy_;
+    place->phase = Phase::kBusy;
+    ready_.push_back(place);
+    work_.notify_one();
+    return;
+  }
+  lock.unlock();
+  counters_.turned_away.Add();
+  if (WriteAll(place->fd, Format(handler_.Overloaded(), false), 0).status != Io::kOk) {
+    Remove(place);
+  } else {
+    Restart(place);
+  }
 }
 
-void Server::Leave(Place place) {
-  std::lock_guard lock(mutex_);
-  told_ -= place->told ? 1 : 0;
+// The connection waits for its next request.
+void Server::Restart(Place place) {
+  std::unique_lock lock(mutex_);
+  if (stopping_ && place->phase == Phase::kBusy) {
+    lock.unlock();
+    return lingerer_.Take(Remove(place));
+  }
   busy_ -= place->phase == Phase::kBusy ? 1 : 0;
-  sessions_.erase(place);
-  left_.notify_all();
+  place->phase = Phase::kIdle;
+  place->since_us = clock_.Now();
+  place->until_us = place->since_us + kIdleWait;
+  place->received_us = 0;
+  place->parser = HttpParser(HttpParser::Kind::kRequest);
+  Arm(place, false);
 }
 
-// Guards against clients that say nothing or never come to an end: a new connection owes its first request
-// soon after connecting, later ones once they have begun.
-Server::Came Server::ReadRequest(const Fd& client, Place place, std::string& pending, HttpParser& parser,
-                                 Micros& received_us) {
-  bool first = place->phase == Phase::kNew;  // only this thread changes it
-  Micros until = place->since_us + (first ? kFirstWait : kIdleWait);
+void Server::Work() {
+  std::unique_lock lock(mutex_);
   while (true) {
-    HttpParser::State state = parser.Feed(pending);
-    if (state == HttpParser::State::kBad) return Came::kBad;
-    if (state == HttpParser::State::kDone) {
-      // One request at a time: of a flood written at once none is begun.
-      return pending.empty() && Peek(client.Get()) != Sight::kBytes ? Came::kRequest : Came::kBad;
-    }
-    Io got = ReadSome(client, pending, until - clock_.Now());
-    if (got == Io::kTimeout) return received_us > 0 ? Came::kLate : Came::kNothing;
-    if (got != Io::kOk) return Came::kNothing;
-    if (received_us > 0) continue;
-    received_us = clock_.Now();
-    if (!first) until = received_us + kRequestWait;
-  }
-}
-
-// Whether the last answer on it is on its way: what the client has written meanwhile must not reset it.
-bool Server::Serve(const Fd& client, Place place) try {
-  std::string pending;
-  bool close = false;
-  while (!close) {
-    HttpParser parser(HttpParser::Kind::kRequest);
-    Exchange exchange{client.Get(), 0, false};
-    Came came = ReadRequest(client, place, pending, parser, exchange.received_us);
-    if (came == Came::kNothing) return false;  // it has gone, or said nothing
-    std::optional<HttpResponse> response;
-    if (came != Came::kRequest) {
-      counters_.malformed.Add();
-      response = handler_.Malformed();
-      if (came == Came::kLate) response->status = 408;
-      response->close = true;
-    } else if (!Turn(place, Phase::kBusy)) {
-      counters_.turned_away.Add();
-      response = handler_.Overloaded();
-    } else {
-      exchange.draining = draining_;
-      response = handler_.Handle(parser.message(), exchange);
+    if (ready_.empty()) {
+      ++idle_workers_;
+      work_.wait_for(lock, kWorkerWait, [this] { return !ready_.empty() || stopping_; });
+      --idle_workers_;
     }
-    if (!response) return false;
-    close = response->close || parser.message().close || draining_;
-    if (WriteAll(client, Format(*response, close), kWriteWait).status != Io::kOk) return false;
-    if (!close) Turn(place, Phase::kIdle);
+    if (ready_.empty()) break;
+    Place place = ready_.front();
+    ready_.pop_front();
+    lock.unlock();
+    Answer(place);
+    lock.lock();
+  }
+  --workers_;
+  left_.notify_all();
+}
+
+void Server::Answer(Place place) try {
+  Exchange exchange{place->fd.Get(), place->received_us, draining_};
+  auto response = handler_.Handle(place->parser.message(), exchange);
+  if (!response) return static_cast<void>(Remove(place));
+  // Told to end, we still serve those who are connected until new ones are turned away: sent off at once,
+  // they would find nobody where another gatherer is just being replaced as well.
+  bool close = response->close || place->parser.message().close || stopping_;
+  if (WriteAll(place->fd, Format(*response, close), kWriteWait).status != Io::kOk) {
+    Remove(place);
+  } else if (close) {
+    lingerer_.Take(Remove(place));
+  } else {
+    Restart(place);
   }
-  return true;
 } catch (const std::exception& error) {
   log::Error("client connection: {}", error.what());
-  return false;
+  Remove(place);
 }
 
 void WaitingReply::Deliver(core::FinalAnswer answer) {
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -1,14 +1,17 @@
-// Listens, gives each client connection a thread of its own, and knows when nothing is open any more.
+// Listens, reads requests on one thread and answers each on one of its own, and knows when nothing is open
+// any more.
 #ifndef LIFTRUDDER_NET_SERVER_H_
 #define LIFTRUDDER_NET_SERVER_H_
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/ports.h"
 #include "metrics/metrics.h"
@@ -46,35 +49,44 @@
          const ServerLimits& limits);
   ~Server();
 
-  // From then on every answer closes its connection; new ones come in until StopListening.
+  // From then on it says that it is not ready, and serves on until StopListening: then connections end when
+  // nothing is open on them.
   void Drain() { draining_ = true; }
   void StopListening();
   // Whether all connections have ended within that time.
   bool WaitClosed(Micros wait_us);
 
  private:
-  // New: nothing has been answered on it yet. Busy: a request is being read or answered.
+  // New: nothing has been answered on it yet. Busy: a worker has its request.
   enum class Phase { kNew, kBusy, kIdle };
   struct Session {
-    int fd = -1;
+    std::list<Session>::iterator self;
+    Fd fd;
     Phase phase = Phase::kNew;
-    Micros since_us = 0;
-    bool told = false;  // told to end
+    Micros since_us = 0;     // in this phase
+    Micros until_us = 0;     // when a request must have come
+    Micros received_us = 0;  // when its first byte was seen
+    HttpParser parser{HttpParser::Kind::kRequest};
+    std::string pending;
   };
   using Place = std::list<Session>::iterator;
-  enum class Came { kRequest, kNothing, kBad, kLate };
-
-  void AcceptLoop();
-  // A place for a connection; nothing when all are taken by requests or by ones that are just ending.
-  std::optional<Place> Enter(int fd);
-  void MakeRoom(Micros now);
-  bool Turn(Place place, Phase phase);
-  void Release(Place place);
-  void Leave(Place place);
+
+  // The door's thread: takes connections and requests in, and ends those that are due.
+  void WatchDoor();
+  void TakeIn();
+  void Receive(Place place);
+  void HandOver(Place place);
+  bool MakeRoom(Micros now);
+  void EndOverdue(Micros now);
+  void Arm(Place place, bool first);
+  void Refuse(Place place, const HttpResponse& response);
+  Fd Remove(Place place);
   void TurnAway(Fd client);
-  bool Serve(const Fd& client, Place place);
-  Came ReadRequest(const Fd& client, Place place, std::string& pending, HttpParser& parser,
-                   Micros& received_us);
+
+  // A worker's thread: one request at a time, until there have been none for a while.
+  void Work();
+  void Answer(Place place);
+  void Restart(Place place);
 
   Fd listener_;
   Handler& handler_;
@@ -82,13 +94,17 @@
   metrics::Counters& counters_;
   const ServerLimits limits_;
   Lingerer lingerer_;
+  Fd epoll_;
   std::atomic<bool> draining_{false};
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
-  std::condition_variable left_;
-  std::list<Session> sessions_;
-  int told_ = 0, busy_ = 0;  // of the sessions
-  Thread accept_thread_;
+  std::condition_variable left_, work_;
+  std::list<Session>
+      sessions_;  // the door's thread's, those that are busy their worker's; the list under the lock
+  std::deque<Place> ready_;  // busy, and no worker's yet
+  int busy_ = 0, workers_ = 0, idle_workers_ = 0;
+  Micros looked_us_ = 0;  // the door's: when it last looked for what is overdue
+  Thread door_;
 };
 
 // A client's place to wait; see core::ClientReply.
