A refused connection leaves the door's events before its session ends

Lines: server.cpp, Refuse moved the descriptor to the lingerer but left it in the epoll set, whose next event named a session that was gone; Receive read what a worker had written before arming the connection, ordered only by the kernel. Now Remove takes it out of the set, and Receive enters the lock once.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -138,6 +138,8 @@
 
 Fd Server::Remove(Place place) {
   std::lock_guard lock(mutex_);
+  // The connection may live on at the lingerer: its events must not name a session that is gone.
+  ::epoll_ctl(epoll_.Get(), EPOLL_CTL_DEL, place->fd.Get(), nullptr);
   Fd fd = std::move(place->fd);
   busy_ -= place->phase == Phase::kBusy ? 1 : 0;
   sessions_.erase(place);
@@ -217,6 +219,8 @@
 }
 
 void Server::Receive(Place place) try {
+  // What a worker left in the session is seen from here on: it armed the connection under the lock.
+  { std::lock_guard lock(mutex_); }
   std::size_t taken = 0;
   while (true) {
     Io got = ReadSome(place->fd, place->pending, 0);
