A spoilt answer that outruns our own note of the write counts as spoilt, not as a reset

Saw: spoilt.txt and bad_frame.txt hung now and then under TSan: the part was not sent again. Cause: the reader may end a connection before the writer has noted the frame as wholly written; the writer then gave the loss of the connection as the cause (holder_links.cpp, WriteOne), which the module takes for the loss of the holder's process and does not resend. The connection now keeps why it ended.

--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -165,7 +165,8 @@
     if (written.status == Io::kOk) {
       if (found == live_.end()) return;  // withdrawn meanwhile, and told so
       found->second.progress = core::Progress::kWhollyWritten;
-      if (connection->dead) Finish(key, core::Cause::kConnectionLost);
+      // It ended before we got to note that all was written: for the reason that the reader saw.
+      if (connection->dead) Finish(key, connection->ended_by);
       return;
     }
     // A frame cut short must not be followed by another: the connection ends, and the others on it with it.
@@ -305,6 +306,7 @@
 
 // Ends all that is out on it, but what the writer is at: only the writer knows whether the last byte went.
 void Link::Lost(const std::shared_ptr<Connection>& connection, core::Cause cause) {
+  connection->ended_by = cause;
   Retire(connection);
   context_.connections.fetch_sub(1);
   auto out = std::exchange(connection->out, {});
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -86,6 +86,7 @@
     std::string addr;
     Micros used_us = 0;
     bool dead = false;  // nothing new goes on it
+    core::Cause ended_by = core::Cause::kConnectionLost;
     std::deque<std::pair<std::string, core::AttemptKey>> out;
     std::deque<std::string> withdrawn;  // ids given up on it whose answers may still come
     bool given_up = false;              // too many of those: it takes nothing new
