Every action of the module says why, and parts not sent say what holds them

Need: when a query is refused or answered in part nobody can say why. The module knew at the moment of each decision, and told nobody.

Change: Send, Answer, Refuse, Fail, Cancel and Close carry a typed reason of fixed size: the kind of send, the outcome before a resend, each holder looked at with our parts out there and why it was set aside, the figure that decided an end against its bound. Parts that are not sent, or not again, are told through a list of their own, when the reason changes. Reasons are written, never read.

--- a/include/tinsail/tinsail.h
+++ b/include/tinsail/tinsail.h
@@ -5,6 +5,7 @@
 #ifndef TINSAIL_TINSAIL_H_
 #define TINSAIL_TINSAIL_H_
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <memory>
@@ -56,10 +57,10 @@
   int cells = 1;  // shard s lies in cells (s + j) mod cells, j < reach
   int reach = 1;
   int shards = 1;
-  int parts_per_call = 1;   // that share a call, sent in one round to one replica
-  bool warm_keys = false;   // a replica that met a part's key of late does less work for it
-  int max_attempts = 1;     // for one part
-  int max_open = 0;         // queries and parts held; told for completeness
+  int parts_per_call = 1;  // that share a call, sent in one round to one replica
+  bool warm_keys = false;  // a replica that met a part's key of late does less work for it
+  int max_attempts = 1;    // for one part
+  int max_open = 0;        // queries and parts held; told for completeness
   bool may_cancel = false;
   bool may_probe = false;
   bool may_copy = false;  // two attempts of a part at once
@@ -157,30 +158,123 @@
 using Event = std::variant<ListNews, QueryArrived, PartArrived, AttemptEnded, ProbeEnded, ClientGone,
                            TimerFired, PeerMessage>;
 
+// ---- Reasons: written beside each action, for people to read. No decision reads one. All are of fixed size.
+// ----
+
+// What a replica of a part's shard was at the moment of a choice.
+enum class Standing : std::uint8_t {
+  kFit,
+  kTried,        // an earlier attempt of this part went there
+  kColdShare,    // cold, and its warmth's share of what warm ones get is used up
+  kColdAccount,  // cold, and what it may get at all is used up
+  kSick,         // slow or late
+  kDead,         // answers nothing of use
+  kFarZone,
+  kDraining,
+  kGone,
+};
+struct Considered {
+  ReplicaId replica;
+  std::uint16_t out = 0;  // parts of this aggregator out there, capped at the type's most
+  Standing standing = Standing::kFit;
+  bool eligible = false;  // among those the choice was made from, ties at random
+};
+constexpr std::size_t kMostConsidered = 8;
+struct Choice {
+  std::uint8_t count = 0;     // of `replicas`
+  std::uint8_t unlisted = 0;  // beyond them
+  std::array<Considered, kMostConsidered> replicas;
+};
+
+enum class SendKind : std::uint8_t {
+  kFirst,
+  kHeadStart,  // one part goes ahead of its query's others: replicas were lost of late, or the query is wide
+  kTrial,      // to see whether a sick replica, or a far zone, is well again
+  kResend,     // nothing of this part is out; SendWhy::after tells how the attempt before ended
+  kStragglerCopy,  // the attempt before is out longer than its fellows took
+  kSuspectCopy,    // the attempt before is out at a replica that looks sick or is gone
+};
+struct SendWhy {
+  SendKind kind = SendKind::kFirst;
+  OutcomeCode after = OutcomeCode::kOk;  // of kResend
+  Choice choice;
+};
+
+// Why a query ended; figure and bound are what was compared, in the unit that stands beside each.
+enum class EndCause : std::uint8_t {
+  kUnstated,
+  kWhole,        // all that a whole answer needs is in: weight in, weight needed
+  kAim,          // in part: the aim has come: weight in, least weight
+  kNothingMore,  // in part: no missing part can still come: weight in, least weight
+  kPressure,     // refused at arrival: pressure, where refusals begin
+  kHot,      // refused at arrival: slowest part's expected latency, where refusals begin; shares of the aim
+  kNoWorth,  // refused at arrival: too late or over its tenant's share to be worth anything: worth left, 0
+  kReplicasLost,  // given up: replicas lost under it with none of its parts answered, most that is borne
+  kHopeless,      // given up: weight that can still come in, least weight
+  kWorthless,     // given up: its aim has passed and this class earns nothing later: seconds over the aim, 0
+  kExpired,       // given up: its time is over: seconds to the deadline, seconds kept back
+  kNoClass,       // no such class
+  kBadSettings,
+};
+struct EndWhy {
+  EndCause cause = EndCause::kUnstated;
+  float figure = 0, bound = 0;
+  ReplicaId replica;  // of kHot: the one whose queue decided; else none
+};
+
+enum class CancelWhy : std::uint8_t { kAnswered, kQueryOver, kLooksSick, kDeadConnection };
+enum class CloseWhy : std::uint8_t { kDeadConnection, kUnusedTooLong };
+
+// Why nothing of a part is out now. Told when it changes.
+enum class HeldWhy : std::uint8_t {
+  kNone,
+  kCut,        // light, and below the cut: cut level (0 to 1), its weight
+  kHot,        // no replica would answer it in time: expected latency, bound; shares of the aim
+  kHeadStart,  // waits for the part of its query that went ahead
+  kNoReplica,  // none that may get it now; the choice says why
+  kBudget,     // the aggregator's budget of further attempts is used up
+  kAttempts,   // attempts so far, most attempts
+  kEffect,     // an attempt may have run, and the class forbids a repeat, or does by now
+  kKiller,     // it was out at a replica that died, and no part of its query has been answered
+  kTooLate,    // seconds left, seconds kept back
+};
+struct PartHeld {
+  Id part = 0;
+  HeldWhy why = HeldWhy::kNone;
+  float figure = 0, bound = 0;
+  Choice choice;  // of kNoReplica
+};
+
 // ---- Actions ----
 
 struct Send {
   Id part = 0;
   ReplicaId replica;
   Micros timeout_us = 0;
+  SendWhy why = {};
 };
 struct Answer {
   Id query = 0;
   bool full = false;
+  EndWhy why = {};
 };
 struct Refuse {
   Id query = 0;
   Micros retry_after_us = 0;
+  EndWhy why = {};
 };
 struct Fail {
   Id query = 0;
+  EndWhy why = {};
 };
 struct Cancel {
   Id part = 0;
   int attempt = 0;
+  CancelWhy why = CancelWhy::kAnswered;
 };
 struct Close {  // the idle connections to a replica
   ReplicaId replica;
+  CloseWhy why = CloseWhy::kDeadConnection;
 };
 struct SetTimer {
   Micros span_us = 0;
@@ -202,8 +296,10 @@
   Aggregator(Aggregator&&) noexcept;
   Aggregator& operator=(Aggregator&&) noexcept;
 
-  // All events happen at `now`; the actions appended take effect at `now`, in order.
-  void Handle(Micros now, std::span<const Event> events, std::vector<Action>& actions);
+  // All events happen at `now`; the actions appended take effect at `now`, in order. `held`, where given,
+  // gets a line for each part that is not sent, or not sent again, whenever the reason changes.
+  void Handle(Micros now, std::span<const Event> events, std::vector<Action>& actions,
+              std::vector<PartHeld>* held = nullptr);
 
  private:
   struct State;
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -82,6 +82,7 @@
   bool never_ran = false;  // proved
   bool called_off = false;
   bool lost = false;  // its replica's process or the way to it went while it was out
+  OutcomeCode code = OutcomeCode::kOk;
 };
 
 struct Part {
@@ -92,6 +93,7 @@
   std::uint64_t key = 0;
   bool in = false;
   bool wanted = false;
+  HeldWhy held = HeldWhy::kNone;  // as last told
   Micros idle_since_us = 0;  // wanted, and nothing out since then
   std::vector<Attempt> attempts;
   int Out() const { return static_cast<int>(std::ranges::count_if(attempts, &Attempt::out)); }
@@ -307,7 +309,7 @@
     holders.assign(static_cast<std::size_t>(s.cells), {});
     for (auto& [id, server] : servers) {
       auto cell = static_cast<std::size_t>(server.told.cell);
-      if (server.usable && cell < holders.size()) holders[cell].push_back(&server);
+      if (cell < holders.size()) holders[cell].push_back(&server);
     }
     if (news.kind != ListKind::kCached) asks_failed = 0;
     if (news.kind == ListKind::kCached && s.must_subscribe) out->push_back(Subscribe{});
@@ -384,7 +386,8 @@
     reap_us = std::max(std::min(reap_us, server.idle_us) / 2, kReapLeast * least_aim_us);
     server.idle_sent_us = 0;
     server.stale = true;
-    for (const auto& [key, sent] : server.out) out->push_back(Cancel{key.first, key.second});
+    for (const auto& [key, sent] : server.out)
+      out->push_back(Cancel{key.first, key.second, CancelWhy::kDeadConnection});
   }
 
   // The way to a whole zone may be slow or lossy while each replica there is well: told by each for itself
@@ -413,7 +416,8 @@
     double idle = server.used_us > 0 ? static_cast<double>(now - server.used_us) : 0;
     if (server.out.empty()) {
       bool close = server.stale || idle > reap_us;
-      if (close) out->push_back(Close{server.told.id});
+      auto why = server.stale ? CloseWhy::kDeadConnection : CloseWhy::kUnusedTooLong;
+      if (close) out->push_back(Close{server.told.id, why});
       server.stale = false;
       server.idle_sent_us = !close && idle > kReapLeast * least_aim_us ? now : 0;
       server.idle_us = idle;
@@ -467,11 +471,22 @@
 
   // ================================ arrival and admission ================================
 
+  static EndWhy Because(EndCause cause, double figure, double bound) {
+    return {cause, static_cast<float>(figure), static_cast<float>(bound), {}};
+  }
+  // Told for people only, and once: what is not out at all, or why it is not any more.
+  bool Hold(Part& part, HeldWhy why, double figure = 0, double bound = 0, const Choice& choice = {}) {
+    if (held != nullptr && part.held != why && part.Out() == 0)
+      held->push_back({part.id, why, static_cast<float>(figure), static_cast<float>(bound), choice});
+    part.held = why;
+    return false;
+  }
+
   double TenantRate(std::size_t tenant) const { return s.tenants[tenant].allowance_per_s / s.group_size; }
 
   void operator()(const QueryArrived& event) {
     auto c = static_cast<std::size_t>(event.class_index);
-    if (c >= s.classes.size()) return out->push_back(Fail{event.id});
+    if (c >= s.classes.size()) return out->push_back(Fail{event.id, Because(EndCause::kNoClass, 0, 0)});
     taken.push_back(now);
     auto gap = static_cast<double>(std::min(now - query_us, s.classes[0].give_up_us * 2));
     if (query_us > 0) query_gap_us += kErrorGain * (gap - query_gap_us);
@@ -521,24 +536,30 @@
   double Density(std::size_t c) const { return s.classes[c].worth / std::max(class_parts[c], 1.0); }
 
   // What the best holder of the part's shard would take: a last holder may drown in a calm fleet.
-  double ExpectedLatency(const Part& part) {
+  double ExpectedLatency(const Part& part, ReplicaId* whose = nullptr) {
     double best[2] = {0, 0};  // of healthy holders, of sick ones
     ForHolders(part.shard, [&](const Server& server) {
+      if (!server.usable) return;
       double each = server.per_part_us == 0 ? per_part_us : server.per_part_us;
       double expected = each * static_cast<double>(1 + server.out.size());
       double& least = best[Avoided(server) ? 1 : 0];
+      if (whose != nullptr && (least == 0 || expected < least)) whose[Avoided(server)] = server.told.id;
       least = least == 0 ? expected : std::min(least, expected);
     });
+    if (whose != nullptr && best[0] <= 0) whose[0] = whose[1];
     return best[0] > 0 ? best[0] : best[1];
   }
 
-  bool Admit(const Query& query, double hottest) {
+  bool Admit(const Query& query, double hottest, EndWhy& why) {
     double least = 1e300;
     for (std::size_t c = 0; c < s.classes.size(); ++c) {
       if (class_parts[c] > 0) least = std::min(least, Density(c));
     }
+    why = Because(EndCause::kNoWorth, query.worth_factor, 0);
     if (query.worth_factor <= 0) return false;
     double hot = std::clamp((hottest - kHotFrom) / (kHotFull - kHotFrom), 0.0, 1.0);
+    why = hot > refusal ? Because(EndCause::kHot, hottest, kHotFrom)
+                        : Because(EndCause::kPressure, pressure, kRefuseFrom);
     double chance = std::max(refusal, hot) * least / (Density(query.class_index) * query.worth_factor);
     return Unit() >= chance;
   }
@@ -566,9 +587,12 @@
     bool may_skip = cls.floor < cls.whole_at;
     double most = may_skip ? 1 - cls.floor : 0;
     double skipped = 0, hottest = 0;
+    const Part* slowest = nullptr;
     for (auto& [part, heat] : order) {
       part->wanted = !may_skip || skipped + part->weight > cut_level * most + 1e-12;
-      if (!part->wanted) skipped += part->weight;
+      if (part->wanted) continue;
+      skipped += part->weight;
+      Hold(*part, HeldWhy::kCut, cut_level, part->weight);
     }
     // Beyond the cut: a part that cannot come in time from any holder only keeps those from others.
     for (auto& [part, heat] : order) {
@@ -576,11 +600,19 @@
       if (heat > kHotFull && skipped + part->weight <= most) {
         part->wanted = false;
         skipped += part->weight;
+        Hold(*part, HeldWhy::kHot, heat, kHotFull);
       } else if (!may_skip) {
+        if (heat > hottest) slowest = part;
         hottest = std::max(hottest, heat);
       }
     }
-    if (query.step == 1 && !Admit(query, hottest)) return GiveUp(query);
+    EndWhy why;
+    if (query.step == 1 && !Admit(query, hottest, why)) {
+      ReplicaId whose[2];
+      if (why.cause == EndCause::kHot && slowest != nullptr) ExpectedLatency(*slowest, whose);
+      why.replica = whose[0];
+      return GiveUp(query, why);
+    }
     for (auto it = order.rbegin(); it != order.rend(); ++it) {
       if (it->first->wanted) TrySend(query, *it->first);
     }
@@ -596,15 +628,29 @@
   }
 
   // Fewest of this aggregator's parts out, ties at random, among those that the filter lets through.
-  Server* Choose(const Part& part, bool copy) {
+  Server* Choose(const Part& part, bool copy, Choice* why = nullptr) {
     std::set<ReplicaId> tried;
     for (const Attempt& attempt : part.attempts) tried.insert(attempt.replica);
     std::vector<Server*> healthy, cold, again, sick, dead;
     Server* trial = nullptr;
+    auto note = [&](const Server& server, Standing standing) {
+      if (why == nullptr || why->count == kMostConsidered) return why ? void(++why->unlisted) : void();
+      auto now_out = static_cast<std::uint16_t>(std::min<std::size_t>(server.out.size(), 0xffff));
+      why->replicas[why->count++] = {server.told.id, now_out, standing, false};
+    };
+    auto from = [&](const std::vector<Server*>& among) {
+      for (std::size_t i = 0; why != nullptr && i < why->count; ++i)
+        why->replicas[i].eligible = std::ranges::any_of(
+            among, [&](const Server* server) { return server->told.id == why->replicas[i].replica; });
+      return Fewest(part, among);
+    };
     ForHolders(part.shard, [&](Server& server) {
-      if (!ColdAllows(server, true)) return;
+      bool drains = server.told.availability == Availability::kDraining;
+      if (!server.usable) return note(server, drains ? Standing::kDraining : Standing::kGone);
+      if (!ColdAllows(server, true)) return note(server, Standing::kColdAccount);
       bool was_tried = tried.contains(server.told.id);
       if (Avoided(server)) {
+        note(server, !server.sick ? Standing::kFarZone : server.dead ? Standing::kDead : Standing::kSick);
         // Let back by few trial parts: one at a time, watched closely (kSickCopy); one for a whole far zone.
         const Zone& zone = zones[server.zone];
         bool due = now >= (zone.far ? zone.trial_us : server.trial_us);
@@ -612,9 +658,12 @@
         if (part.attempts.empty() && due && trial == nullptr) trial = &server;
         if (!was_tried) (server.dead ? dead : sick).push_back(&server);
       } else if (was_tried) {
+        note(server, Standing::kTried);
         again.push_back(&server);
       } else {
-        (ColdAllows(server, false) ? healthy : cold).push_back(&server);
+        bool fit = ColdAllows(server, false);
+        note(server, fit ? Standing::kFit : Standing::kColdShare);
+        (fit ? healthy : cold).push_back(&server);
       }
     });
     if (trial != nullptr) {
@@ -622,15 +671,15 @@
       zones[trial->zone].trial_us = now + static_cast<Micros>(kZoneTrial * least_aim_us);
       return trial;
     }
-    if (!healthy.empty()) return Fewest(part, healthy);
-    if (!cold.empty()) return Fewest(part, cold);
+    if (!healthy.empty()) return from(healthy);
+    if (!cold.empty()) return from(cold);
     if (copy) return nullptr;
     // A slow one still answers; one that fails fast has nothing out and would draw every part.
-    if (!sick.empty()) return Fewest(part, sick);
-    if (!dead.empty()) return Fewest(part, dead);
+    if (!sick.empty()) return from(sick);
+    if (!dead.empty()) return from(dead);
     // All were tried: the same ones again, but not in a tight loop.
     if (again.empty() || static_cast<double>(now - part.idle_since_us) < median_us) return nullptr;
-    return Fewest(part, again);
+    return from(again);
   }
 
   // Calls out at it if one more part were sent now: those of one round share calls.
@@ -693,23 +742,25 @@
     return true;
   }
 
-  bool Exhausted(const ClassSettings& cls, const Part& part) const {
+  HeldWhy Barred(const ClassSettings& cls, const Part& part) const {
     // A part that was out at a replica that died may be what killed it. Resent freely, a few take down all
     // holders of their shards. A query of which a part was answered is none of these.
     bool lost = std::ranges::any_of(part.attempts, &Attempt::lost);
     auto query = queries.find(part.query);
-    if (lost && (query == queries.end() || !query->second.vouched)) return true;
-    return static_cast<int>(part.attempts.size()) >= s.max_attempts || !EffectAllows(cls, part);
+    if (lost && (query == queries.end() || !query->second.vouched)) return HeldWhy::kKiller;
+    if (static_cast<int>(part.attempts.size()) >= s.max_attempts) return HeldWhy::kAttempts;
+    return EffectAllows(cls, part) ? HeldWhy::kNone : HeldWhy::kEffect;
   }
 
   // Replicas were lost unannounced of late: a query that kills what begins a part of it may be about. Each is
   // sent by one part first, the others when that is answered, and takes one replica, not all.
-  bool Held(const Query& query) const {
+  bool Held(const Query& query, bool first) const {
     if (query.vouched || query.step > 1) return false;
     bool guard = losses > kLossGuard;
     bool wide = query.parts.size() > kWideLeast && static_cast<double>(query.parts.size()) > kWide * usable;
     bool hurried = static_cast<double>(query.aim_at_us - now) < kNoHurry * median_us;
     if (!guard && (!wide || hurried || pressure > kRefuseFrom)) return false;
+    if (first) return query.newest_us == 0 && query.parts.size() > 1;
     return query.newest_us > 0 &&
            (guard || static_cast<double>(now - query.newest_us) < kHeadStart * median_us);
   }
@@ -718,12 +769,28 @@
     const ClassSettings& cls = s.classes[query.class_index];
     bool copy = part.Out() > 0;
     bool more = !part.attempts.empty();
-    if (query.deadline_us - now <= answer_margin_us || Exhausted(cls, part)) return false;
-    if (!more && Held(query)) return false;
+    Micros left = query.deadline_us - now;
+    if (left <= answer_margin_us)
+      return Hold(part, HeldWhy::kTooLate, static_cast<double>(left) / 1e6,
+                  static_cast<double>(answer_margin_us) / 1e6);
+    if (HeldWhy barred = Barred(cls, part); barred != HeldWhy::kNone)
+      return Hold(part, barred, static_cast<double>(part.attempts.size()), s.max_attempts);
+    if (!more && Held(query, false)) return Hold(part, HeldWhy::kHeadStart);
     if (copy && (!s.may_copy || part.Out() > 1)) return false;
-    if (more && !FurtherAllowed(copy && !suspect)) return false;
-    Server* server = Choose(part, copy);
-    if (server == nullptr) return false;
+    if (more && !FurtherAllowed(copy && !suspect)) return Hold(part, HeldWhy::kBudget);
+    SendWhy why{SendKind::kFirst, more ? part.attempts.back().code : OutcomeCode::kOk, {}};
+    Server* server = Choose(part, copy, &why.choice);
+    if (server == nullptr) return Hold(part, HeldWhy::kNoReplica, 0, 0, why.choice);
+    if (copy) {
+      why.kind = suspect ? SendKind::kSuspectCopy : SendKind::kStragglerCopy;
+    } else if (more) {
+      why.kind = SendKind::kResend;
+    } else if (Avoided(*server) && std::ranges::none_of(why.choice.replicas, &Considered::eligible)) {
+      why.kind = SendKind::kTrial;
+    } else if (Held(query, true)) {
+      why.kind = SendKind::kHeadStart;
+    }
+    part.held = HeldWhy::kNone;
     if (more) further.push_back(now);
     if (!more) query.newest_us = now;
     if (!more) ++query.sent;
@@ -734,7 +801,7 @@
     --server->cold_hard;
     server->out[{part.id, static_cast<int>(part.attempts.size())}] = now;
     part.attempts.push_back({server->told.id, now, static_cast<int>(server->out.size())});
-    out->push_back(Send{part.id, server->told.id, query.deadline_us - answer_margin_us - now});
+    out->push_back(Send{part.id, server->told.id, query.deadline_us - answer_margin_us - now, why});
     return true;
   }
 
@@ -750,6 +817,7 @@
     attempt.out = false;
     attempt.never_ran = ProvesNotRun(ended.code);
     attempt.lost = ended.code == OutcomeCode::kReset;
+    attempt.code = ended.code;
     auto server = servers.find(attempt.replica);
     if (server != servers.end()) {
       server->second.out.erase({part.id, ended.attempt});
@@ -769,12 +837,12 @@
     if (++query->second.in >= kMostIn * query->second.sent && query->second.most_in_us == 0)
       query->second.most_in_us = now;
     query->second.in_weight += part.weight;
-    CancelOut(part);
+    CancelOut(part, CancelWhy::kAnswered);
   }
 
-  void CancelOut(Part& part) {
+  void CancelOut(Part& part, CancelWhy why) {
     for (std::size_t a = 0; s.may_cancel && a < part.attempts.size(); ++a) {
-      if (part.attempts[a].out) out->push_back(Cancel{part.id, static_cast<int>(a)});
+      if (part.attempts[a].out) out->push_back(Cancel{part.id, static_cast<int>(a), why});
     }
   }
 
@@ -801,27 +869,40 @@
           // Never two at once: called off, and sent again when that is confirmed. Only where the replica
           // looks sick: a part called off for its age alone is work thrown away.
           stuck->called_off = true;
-          out->push_back(Cancel{part.id, static_cast<int>(stuck - part.attempts.begin())});
+          int attempt = static_cast<int>(stuck - part.attempts.begin());
+          out->push_back(Cancel{part.id, attempt, CancelWhy::kLooksSick});
         }
       }
-      if (part.Out() > 0 || !Exhausted(cls, part)) possible += part.weight;
+      if (part.Out() > 0 || Barred(cls, part) == HeldWhy::kNone) possible += part.weight;
     }
     // Replicas died under it and none has answered: it goes no further.
     bool expired = now >= query.deadline_us - answer_margin_us;
-    if (!query.vouched && query.losses > (losses > kLossGuard ? 0 : 1)) return GiveUp(query);
-    if (query.parts.empty() && query.step == 2) return expired ? GiveUp(query) : void();
+    int borne = losses > kLossGuard ? 0 : 1;
+    if (!query.vouched && query.losses > borne)
+      return GiveUp(query, Because(EndCause::kReplicasLost, query.losses, borne));
+    EndWhy late = Because(EndCause::kExpired, static_cast<double>(query.deadline_us - now) / 1e6,
+                          static_cast<double>(answer_margin_us) / 1e6);
+    if (query.parts.empty() && query.step == 2) return expired ? GiveUp(query, late) : void();
     bool whole = query.in_weight >= cls.whole_at - kWeightSlack && (query.step == 1 || all_in);
-    if (whole) return Conclude(query, query.step == 1 || query.first_full);
+    if (whole)
+      return Conclude(query, query.step == 1 || query.first_full,
+                      Because(EndCause::kWhole, query.in_weight, cls.whole_at));
     bool floor_in =
         query.in_weight >= cls.floor - kWeightSlack && query.in_weight > 0 && cls.floor < cls.whole_at;
     bool nothing_more = possible <= query.in_weight + 1e-12;
     Micros answer_at = query.aim_at_us - answer_margin_us;
     if (query.step == 1 && cls.fetch_parts > 0) answer_at -= static_cast<Micros>(slow_us);
     answer_at = std::min(answer_at, query.deadline_us - answer_margin_us);
-    if (floor_in && (now >= answer_at || nothing_more)) return Conclude(query, false);
-    bool hopeless = possible < std::min(cls.floor, cls.whole_at) - kWeightSlack;
+    if (floor_in && (now >= answer_at || nothing_more)) {
+      EndCause cause = nothing_more ? EndCause::kNothingMore : EndCause::kAim;
+      return Conclude(query, false, Because(cause, query.in_weight, cls.floor));
+    }
+    double least = std::min(cls.floor, cls.whole_at);
+    bool hopeless = possible < least - kWeightSlack;
     bool worthless = now >= query.aim_at_us - answer_margin_us && cls.late_share <= 0;
-    if (hopeless || worthless || expired) GiveUp(query);
+    if (hopeless) return GiveUp(query, Because(EndCause::kHopeless, possible, least));
+    double over = static_cast<double>(now - query.aim_at_us) / 1e6;
+    if (expired || worthless) GiveUp(query, expired ? late : Because(EndCause::kWorthless, over, 0));
   }
 
   // Its replica is gone or looks sick, or has answered parts sent well after this one, which is lost then.
@@ -845,8 +926,8 @@
     return (pressure < kCopyPressure && age > copy_us) || (pressure < kStragglerPressure && behind);
   }
 
-  void Conclude(Query& query, bool full) {
-    out->push_back(Answer{query.id, full});
+  void Conclude(Query& query, bool full, const EndWhy& why) {
+    out->push_back(Answer{query.id, full, why});
     const ClassSettings& cls = s.classes[query.class_index];
     ReleaseParts(query);
     if (query.step == 1 && cls.fetch_parts > 0) {
@@ -863,7 +944,7 @@
   // ================================ the end of a query ================================
 
   // Given up: told at once, with the time to come back. A refusal promises that nothing ran.
-  void GiveUp(Query& query) {
+  void GiveUp(Query& query, const EndWhy& why) {
     const ClassSettings& cls = s.classes[query.class_index];
     bool harmless = true;
     if (cls.effect == Effect::kAtMostOnce) {
@@ -875,9 +956,9 @@
     if (harmless && now < query.deadline_us) {
       double wait = least_aim_us * (kRetryAfter + refusal);
       Micros most = s.may_retry_after ? s.max_retry_after_us : 0;
-      out->push_back(Refuse{query.id, std::min(most, static_cast<Micros>(wait))});
+      out->push_back(Refuse{query.id, std::min(most, static_cast<Micros>(wait)), why});
     } else {
-      out->push_back(Fail{query.id});
+      out->push_back(Fail{query.id, why});
     }
     ReleaseParts(query);
     Forget(query);
@@ -887,7 +968,7 @@
     for (Id id : query.parts) {
       Part& part = parts.at(id);
       part.query = 0;
-      CancelOut(part);
+      CancelOut(part, CancelWhy::kQueryOver);
       if (part.Out() == 0) parts.erase(id);
     }
     query.parts.clear();
@@ -913,13 +994,16 @@
   }
   void operator()(const auto&) {}  // asked for nowhere
 
-  void Handle(Micros at, std::span<const Event> events, std::vector<Action>& actions) {
+  void Handle(Micros at, std::span<const Event> events, std::vector<Action>& actions,
+              std::vector<PartHeld>* holds) {
     now = at;
     out = &actions;
+    held = holds;
     for (const Event& event : events) {
       const auto* query = std::get_if<QueryArrived>(&event);
       if (valid) std::visit(*this, event);
-      if (!valid && query != nullptr) actions.push_back(Fail{query->id});
+      EndWhy why{EndCause::kBadSettings, 0, 0, {}};
+      if (!valid && query != nullptr) actions.push_back(Fail{query->id, why});
     }
     if (!valid) return;
     UpdateView();
@@ -943,10 +1027,11 @@
   std::uint64_t random_state;
   Micros now = 0;
   std::vector<Action>* out = nullptr;
+  std::vector<PartHeld>* held = nullptr;
   double least_aim_us = 0;
   Micros answer_margin_us = 0, copy_span_us = 0;
   std::map<ReplicaId, Server> servers;
-  std::vector<std::vector<Server*>> holders;  // by cell, those usable
+  std::vector<std::vector<Server*>> holders;  // by cell, those usable or not
   double warm_weight = 0, warm_sent = 0;      // of all warm replicas; sent to one of weight 1 since the start
   std::map<Id, Query> queries;
   std::map<Id, Part> parts;
@@ -976,8 +1061,9 @@
 Aggregator::Aggregator(Aggregator&&) noexcept = default;
 Aggregator& Aggregator::operator=(Aggregator&&) noexcept = default;
 
-void Aggregator::Handle(Micros now, std::span<const Event> events, std::vector<Action>& actions) {
-  state_->Handle(now, events, actions);
+void Aggregator::Handle(Micros now, std::span<const Event> events, std::vector<Action>& actions,
+                        std::vector<PartHeld>* held) {
+  state_->Handle(now, events, actions, held);
 }
 
 }  // namespace tinsail
