--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,7 @@
 #include "config/config.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 #include <fstream>
@@ -14,6 +16,8 @@
 
 namespace json = net::json;
 
+constexpr std::int64_t kMiB = 1024 * 1024;
+
 std::string Text(std::string_view object, std::string_view key) {
   auto value = json::String(json::Get(object, key));
   return value ? *value : std::string();
@@ -58,6 +62,34 @@
   return entry;
 }
 
+// A share of the memory that holds a minute and more of a busy gatherer's queries, and is not missed by
+// serving.
+WhyOptions Why(std::string_view text, int memory_mb) {
+  static constexpr std::int64_t kShare = 48, kLeast = kMiB / 2, kMost = 8 * kMiB, kLargest = 1024 * kMiB;
+  WhyOptions out;
+  out.bytes = static_cast<std::size_t>(std::clamp(memory_mb * kMiB / kShare, kLeast, kMost));
+  if (text.empty()) return out;
+  bool ok = json::Members(text, [&out](std::string_view name, std::string_view value) {
+    if (name == "bytes") {
+      auto bytes = json::Integer(value);
+      if (!bytes || *bytes < 0 || *bytes > kLargest || (*bytes > 0 && *bytes < kLeast))
+        throw std::runtime_error(
+            fmt::format("why.bytes: {} is neither 0 nor from {} to {}", value, kLeast, kLargest));
+      out.bytes = static_cast<std::size_t>(*bytes);
+    } else if (name == "file") {
+      auto file = json::String(value);
+      if (!file) throw std::runtime_error(fmt::format("why.file: {} is not a text", value));
+      out.file = *file;
+    } else {
+      throw std::runtime_error(
+          fmt::format("why.{}: there is no such setting; there are bytes and file", name));
+    }
+    return true;
+  });
+  if (!ok) throw std::runtime_error("why: not an object");
+  return out;
+}
+
 }  // namespace
 
 core::HolderList ParseHolders(std::string_view text, const Config& config) {
@@ -116,8 +148,10 @@
   out.streams_per_connection =
       std::max<int>(1, static_cast<int>(IntegerOr(bounds, "streamsPerConn", out.streams_per_connection)));
   std::string_view limits = json::Get(text, "limits");
+  int memory_mb = static_cast<int>(IntegerOr(limits, "memory_mb", 192));
+  out.why = Why(json::Get(text, "why"), memory_mb);
   out.budget = ShareOut(static_cast<int>(IntegerOr(limits, "sockets", 1024)),
-                        static_cast<int>(IntegerOr(limits, "memory_mb", 192)));
+                        memory_mb - static_cast<int>((out.why.bytes + kMiB - 1) / kMiB));
   out.cores = json::Number(json::Get(limits, "cores")).value_or(out.cores);
   std::string_view known = json::Get(text, "known");
   if (!known.empty()) out.known = ParseHolders(known, out);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -18,6 +18,12 @@
   int holder_connections = 0;
 };
 
+// The record of decisions.
+struct WhyOptions {
+  std::size_t bytes = 0;  // all that it may claim; 0: nothing is recorded
+  std::string file;       // where it outlives the program; empty: in memory only
+};
+
 struct Config {
   std::string name, listen, discovery;
   std::uint64_t seed = 0;
@@ -29,6 +35,7 @@
   double cores = 1;
   core::HolderList known;
   Budget budget;
+  WhyOptions why;
 };
 
 // Throws std::runtime_error saying what is wrong.
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -26,14 +26,26 @@
   wake_.notify_one();
 }
 
-std::vector<Input> Core::NextBatch() {
+void Core::Freshen() {
+  constexpr auto kLongest = std::chrono::milliseconds(200);
+  std::unique_lock lock(mutex_);
+  std::uint64_t mine = ++freshen_asked_;
+  wake_.notify_one();
+  freshened_.wait_for(lock, kLongest, [&] { return freshen_done_ >= mine || stopping_; });
+}
+
+std::vector<Input> Core::NextBatch(std::uint64_t& freshen) {
   std::unique_lock lock(mutex_);
   while (true) {
     Micros now = clock_.Now();
     Micros due = book_.NextExpiry();
     if (!timers_.empty()) due = std::min(due, timers_.begin()->first);
     Micros earliest = last_round_us_ + settings_.resolution_us;
-    bool ready = !queue_.empty() || due <= now || stopping_;
+    // The fronts' notes wait for the next round, or as long as this where there is none.
+    constexpr Micros kNotesWait = 100'000;
+    bool notes = recorder_ != nullptr && recorder_->MailWaits();
+    if (notes) due = std::min(due, last_round_us_ + kNotesWait);
+    bool ready = !queue_.empty() || due <= now || stopping_ || freshen_asked_ > freshen_done_;
     if (ready && (now >= earliest || stopping_)) break;
     constexpr Micros kLongest = 1'000'000;  // bounds the sleep, whatever the clock does
     Micros until = ready ? earliest : std::max(due, earliest);
@@ -41,26 +53,34 @@
   }
   std::vector<Input> batch(std::make_move_iterator(queue_.begin()), std::make_move_iterator(queue_.end()));
   queue_.clear();
+  freshen = freshen_asked_;
   return batch;
 }
 
 void Core::Run() {
   std::vector<tinsail::Action> actions;
   while (true) {
-    std::vector<Input> batch = NextBatch();
+    std::uint64_t freshen = 0;
+    std::vector<Input> batch = NextBatch(freshen);
     {
       std::lock_guard lock(mutex_);
       if (stopping_) return;
     }
     now_ = last_round_us_ = clock_.Now();
+    if (recorder_ != nullptr) recorder_->Now(now_);
     events_.clear();
     for (Input& input : batch) std::visit([this](auto& what) { Take(what); }, input);
     TakeDue();
-    if (events_.empty()) continue;
-    actions.clear();
-    aggregator_.Handle(now_, events_, actions);
-    counters_.rounds.Add();
-    for (const tinsail::Action& action : actions) std::visit([this](const auto& what) { Act(what); }, action);
+    if (!events_.empty()) {
+      actions.clear();
+      held_.clear();
+      aggregator_.Handle(now_, events_, actions, recorder_ != nullptr ? &held_ : nullptr);
+      counters_.rounds.Add();
+      RecordHeld();
+      for (const tinsail::Action& action : actions)
+        std::visit([this](const auto& what) { Act(what); }, action);
+    }
+    EndRound(freshen);
   }
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -13,6 +13,7 @@
 #include "core/book.h"
 #include "core/ports.h"
 #include "metrics/metrics.h"
+#include "why/recorder.h"
 
 namespace liftrudder::core {
 
@@ -23,6 +24,7 @@
 };
 struct Hangup {
   Id id = 0;
+  why::Door door = why::Door::kLeft;  // why its front waits no longer
 };
 using Input = std::variant<Arrival, Hangup, AttemptResult, tinsail::ListNews>;
 
@@ -32,19 +34,28 @@
        const HolderDirectory& directory, metrics::Counters& counters);
 
   void Attach(HolderTransport& transport) { transport_ = &transport; }
+  // Before Run; without one nothing is recorded.
+  void Attach(why::Recorder& recorder) { recorder_ = &recorder; }
 
   // Stage admit. The query's id, or nothing when a cap or the list of what may be open turns it away.
   std::optional<Id> Admit(QueryRequest request, std::shared_ptr<ClientReply> reply);
   // Never refused: their number is bounded by what was admitted, or by the holder list.
   void Post(Input input);
 
+  // From a front's thread: what the record is to know of a client. Waits for nobody.
+  void NoteDoor(why::Door door, why::FrontKind front, int class_index, int status, std::string_view call_id,
+                double figure = 0, double bound = 0);
+  void NoteGiven(Id query, int status, std::size_t bytes, bool whole);
+  // Has the record made readable up to now; waits a fifth of a second at most, on the caller's thread.
+  void Freshen();
+
   void Run();   // on the core's own thread, until Stop
   void Stop();  // from any thread
   int Open() const { return open_queries_.load(); }
 
  private:
   // Waits for input or a timer, but never less than a resolution after the last round.
-  std::vector<Input> NextBatch();
+  std::vector<Input> NextBatch(std::uint64_t& freshen);
 
   // Stage intake: inputs to events.
   void Take(Arrival& arrival);
@@ -64,20 +75,30 @@
   void Act(const tinsail::Answer& answer);
   void Act(const tinsail::Refuse& refuse);
   void Act(const tinsail::Fail& fail);
-  void Finish(Id query, FinalAnswer answer);
+  void Finish(Id query, FinalAnswer answer, const tinsail::EndWhy& why);
   void CloseQuery(Id query, int parts);
 
+  // What the record is told of; nothing when there is none.
+  void Note(const why::Note& note);
+  void RecordOpen(const Arrival& arrival);
+  void RecordHeld();
+  void RecordEnd(Id query, const FinalAnswer& answer, const tinsail::EndWhy& why, int pieces);
+  void EndRound(std::uint64_t freshen);
+
   const tinsail::Settings settings_;
   tinsail::Aggregator aggregator_;
   const Clock& clock_;
   const HolderDirectory& directory_;
   metrics::Counters& counters_;
   HolderTransport* transport_ = nullptr;
+  why::Recorder* recorder_ = nullptr;
 
   std::mutex mutex_;
   std::condition_variable wake_;
   std::deque<Input> queue_;
   bool stopping_ = false;
+  std::uint64_t freshen_asked_ = 0, freshen_done_ = 0;
+  std::condition_variable freshened_;
   std::atomic<int> open_{0};  // queries and parts, as the settings count them
   std::atomic<int> open_queries_{0};
   std::atomic<Id> next_id_{1};
@@ -86,6 +107,8 @@
   Book book_;
   std::set<std::pair<Micros, std::uint64_t>> timers_;
   std::vector<tinsail::Event> events_;
+  std::vector<tinsail::PartHeld> held_;
+  std::vector<why::OpenedPart> opened_parts_;
   Micros now_ = 0;
   Micros last_round_us_ = 0;
   std::int64_t number_ = 0;
--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -56,8 +56,9 @@
   return news;
 }
 
-// Guards a long day, in which holders are replaced for ever, against growing with them. Nothing is out any more
-// at what was gone that long, older lists are ignored, and a newer one that names it again makes it a new holder.
+// Guards a long day, in which holders are replaced for ever, against growing with them. Nothing is out any
+// more at what was gone that long, older lists are ignored, and a newer one that names it again makes it a
+// new holder.
 void Directory::Forget(Micros now) {
   for (auto one = gone_.begin(); one != gone_.end();) {
     auto next = std::next(one);
--- a/src/core/intake.cpp
+++ b/src/core/intake.cpp
@@ -19,6 +19,7 @@
     events_.push_back(tinsail::PartArrived{arrival.id + 1 + static_cast<Id>(i), number_, part.shard,
                                            part.weight, part.key, part.work_us});
   }
+  RecordOpen(arrival);
   book_.Open(arrival.id, request, std::move(arrival.reply));
 }
 
@@ -26,19 +27,37 @@
   const OpenQuery* query = book_.Query(hangup.id);
   if (query == nullptr) return;
   counters_.gone.Add();
+  if (recorder_ != nullptr) {
+    auto verdict = hangup.door == why::Door::kLate ? why::Verdict::kLate : why::Verdict::kGone;
+    recorder_->Final(hangup.id, verdict, {}, hangup.door, 0, 0);
+  }
   CloseQuery(hangup.id, query->parts);
   events_.push_back(tinsail::ClientGone{hangup.id});
 }
 
 void Core::Take(AttemptResult& result) {
+  AttemptKey key = result.key;
+  Progress progress = result.progress;
+  Cause cause = result.cause;
+  const OpenPart* part = book_.Part(key.part);
+  Id query = part != nullptr ? part->query : 0;
   auto ended = book_.End(std::move(result), now_);
   if (!ended) return;
+  if (recorder_ != nullptr) {
+    recorder_->Ended(query, static_cast<int>(key.part - query - 1), key.attempt, ended->replica.address,
+                     ended->code, progress, cause);
+  }
   counters_.outcomes[static_cast<std::size_t>(ended->code)].Add();
   events_.push_back(std::move(*ended));
 }
 
 void Core::Take(tinsail::ListNews& news) {
   counters_.lists.Add();
+  for (const tinsail::Replica& replica : news.replicas) {
+    if (recorder_ == nullptr) break;
+    HolderAddress holder = directory_.Find(replica.id);
+    recorder_->Holder(replica.id.address, holder.id, holder.addr);
+  }
   events_.push_back(std::move(news));
   transport_->ForgetGone();
 }
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "tinsail/tinsail.h"
+#include "why/counts.h"
 
 namespace liftrudder::core {
 
@@ -33,7 +34,10 @@
 struct QueryRequest {
   int class_index = 0;
   bool repeated = false;
+  Micros received_us = 0;  // when its first byte was seen
   Micros deadline_us = 0;
+  why::FrontKind front = why::FrontKind::kPlatform;
+  std::string label;  // the client's own name for it, where the front has such a thing; for the record alone
   std::shared_ptr<const Payload> payload;
   std::vector<PartRequest> parts;
 };
@@ -53,9 +57,8 @@
   int parts = 0;  // of the query, answered or not
 };
 
-// How far an attempt had come when it ended, and why it ended. Whether it may have run follows from these alone.
-enum class Progress { kNotConnected, kPartlyWritten, kWhollyWritten, kAnswering };
-enum class Cause { kServed, kBroke, kSkipped, kSpoilt, kConnectionLost, kWithdrawn, kExpired, kStale };
+using why::Cause;
+using why::Progress;
 
 OutcomeCode OutcomeOf(Progress progress, Cause cause);
 
--- /dev/null
+++ b/src/core/record.cpp
@@ -0,0 +1,79 @@
+// What the stages tell the record of decisions. Nothing here is read by a decision.
+#include "core/core.h"
+
+namespace liftrudder::core {
+
+void Core::Note(const why::Note& note) {
+  if (recorder_->Tell(note)) wake_.notify_one();
+}
+
+void Core::NoteDoor(why::Door door, why::FrontKind front, int class_index, int status,
+                    std::string_view call_id, double figure, double bound) {
+  if (recorder_ == nullptr) return;
+  why::Note note;
+  note.door = door;
+  note.front = front;
+  note.class_index = static_cast<std::uint8_t>(class_index);
+  note.status = static_cast<std::uint16_t>(status);
+  note.at_us = clock_.Now();
+  note.figure = static_cast<float>(figure);
+  note.bound = static_cast<float>(bound);
+  note.SetId(call_id);
+  Note(note);
+}
+
+void Core::NoteGiven(Id query, int status, std::size_t bytes, bool whole) {
+  if (recorder_ == nullptr) return;
+  why::Note note;
+  note.query = query;
+  note.status = static_cast<std::uint16_t>(status);
+  note.bytes = static_cast<std::uint32_t>(bytes);
+  note.whole = whole;
+  note.at_us = clock_.Now();
+  Note(note);
+}
+
+void Core::RecordOpen(const Arrival& arrival) {
+  if (recorder_ == nullptr) return;
+  const QueryRequest& request = arrival.request;
+  opened_parts_.clear();
+  for (const PartRequest& part : request.parts)
+    opened_parts_.push_back({part.shard, part.weight, part.work_us});
+  why::Opened query;
+  query.query = arrival.id;
+  query.arrived_us = request.received_us > 0 ? request.received_us : now_;
+  query.deadline_us = request.deadline_us;
+  query.class_index = request.class_index;
+  query.front = request.front;
+  query.repeated = request.repeated;
+  query.call_id = request.payload->call_id;
+  query.label = request.label;
+  recorder_->Open(query, opened_parts_);
+}
+
+// Before the round's actions: the book forgets the parts of a query that these end.
+void Core::RecordHeld() {
+  for (const tinsail::PartHeld& held : held_) {
+    const OpenPart* part = book_.Part(held.part);
+    if (part != nullptr) recorder_->Held(part->query, static_cast<int>(held.part - part->query - 1), held);
+  }
+}
+
+void Core::RecordEnd(Id query, const FinalAnswer& answer, const tinsail::EndWhy& why, int pieces) {
+  if (recorder_ == nullptr) return;
+  why::Verdict verdict = why::Verdict::kFailed;
+  if (answer.verdict == Verdict::kAnswered)
+    verdict = answer.full ? why::Verdict::kWhole : why::Verdict::kPartial;
+  if (answer.verdict == Verdict::kRefused) verdict = why::Verdict::kRefused;
+  recorder_->Final(query, verdict, why, why::Door::kNone, answer.retry_after_us, pieces);
+}
+
+void Core::EndRound(std::uint64_t freshen) {
+  if (recorder_ != nullptr) recorder_->Flush();
+  std::lock_guard lock(mutex_);
+  if (freshen_done_ >= freshen) return;
+  freshen_done_ = freshen;
+  freshened_.notify_all();
+}
+
+}  // namespace liftrudder::core
--- a/src/core/relay.cpp
+++ b/src/core/relay.cpp
@@ -7,24 +7,25 @@
   FinalAnswer out;
   out.verdict = Verdict::kAnswered;
   out.full = answer.full;
-  Finish(answer.query, std::move(out));
+  Finish(answer.query, std::move(out), answer.why);
 }
 
 void Core::Act(const tinsail::Refuse& refuse) {
   FinalAnswer out;
   out.verdict = Verdict::kRefused;
   out.retry_after_us = refuse.retry_after_us;
-  Finish(refuse.query, std::move(out));
+  Finish(refuse.query, std::move(out), refuse.why);
 }
 
-void Core::Act(const tinsail::Fail& fail) { Finish(fail.query, {}); }
+void Core::Act(const tinsail::Fail& fail) { Finish(fail.query, {}, fail.why); }
 
-void Core::Finish(Id id, FinalAnswer answer) {
+void Core::Finish(Id id, FinalAnswer answer, const tinsail::EndWhy& why) {
   const OpenQuery* query = book_.Query(id);
   if (query == nullptr) return;
   std::shared_ptr<ClientReply> reply = query->reply;
   answer.parts = query->parts;
   std::vector<Piece> pieces = book_.Close(id);
+  RecordEnd(id, answer, why, static_cast<int>(pieces.size()));
   if (answer.verdict == Verdict::kAnswered) answer.pieces = std::move(pieces);
   open_.fetch_sub(1 + answer.parts);
   open_queries_.fetch_sub(1);
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -13,6 +13,8 @@
   order.wait_until_us = attempt.wait_until_us;
   order.payload = part->payload;
   order.key = {send.part, book_.Begin(send.part, *part, attempt)};
+  if (recorder_ != nullptr)
+    recorder_->Sent(part->query, static_cast<int>(send.part - part->query - 1), order.key.attempt, send);
   counters_.sent.Add();
   if (order.key.attempt > 0) counters_.resent.Add();
   transport_->Start(std::move(order));
@@ -22,6 +24,8 @@
   OpenPart* part = book_.Part(cancel.part);
   auto index = static_cast<std::size_t>(cancel.attempt);
   if (part == nullptr || index >= part->attempts.size() || !part->attempts[index].out) return;
+  if (recorder_ != nullptr)
+    recorder_->Cancelled(part->query, static_cast<int>(cancel.part - part->query - 1), cancel);
   transport_->Withdraw({cancel.part, cancel.attempt}, part->attempts[index].holder, Cause::kWithdrawn);
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,11 +2,13 @@
 #include <signal.h>
 #include <time.h>
 
+#include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <exception>
 #include <functional>
 #include <stdexcept>
 
+#include "app/why_command.h"
 #include "config/config.h"
 #include "core/core.h"
 #include "dns/update.h"
@@ -83,6 +85,18 @@
       dialect, directory, clock, limits, counters,
       [&core](lr::core::AttemptResult result) { core.Post(std::move(result)); });
   core.Attach(*links);
+  std::optional<lr::why::Recorder> recorder;
+  std::optional<lr::why::Desk> desk;
+  if (config.why.bytes > 0) {
+    recorder.emplace(config.why.bytes, config.why.file,
+                     lr::why::About{config.name, clock.Now(), config.classes}, config.seed);
+    core.Attach(*recorder);
+    desk.emplace(
+        recorder->arena(), [&core] { core.Freshen(); }, [&clock] { return clock.Now(); });
+    lr::log::Info("the record of decisions has {} bytes{}{}", recorder->Claimed(),
+                  config.why.file.empty() ? "" : ", in ", config.why.file);
+  }
+  lr::why::Desk* asked = desk ? &*desk : nullptr;
   if (zone.file.empty()) {
     if (auto news = directory.Apply(config.known, clock.Now())) core.Post(std::move(*news));
   }
@@ -101,9 +115,9 @@
     }
     std::unique_ptr<lr::net::Handler> front;
     if (options == nullptr) {
-      front = std::make_unique<lr::platform::Front>(config, core, clock, counters);
+      front = std::make_unique<lr::platform::Front>(config, core, clock, counters, asked);
     } else {
-      front = std::make_unique<lr::opensearch::Front>(config, *options, core, clock, counters);
+      front = std::make_unique<lr::opensearch::Front>(config, *options, core, clock, counters, asked);
     }
     lr::net::Fd listener = NeedListener(config.listen);
     lr::log::Info("room for {} connections of clients, {} with requests, and {} to holders; {} of a core",
@@ -131,14 +145,25 @@
 int main(int argc, char** argv) try {
   sigset_t signals = Signals();
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  if (argc == 3 && std::string_view(argv[1]) == "--opensearch") {
-    std::string text = lr::config::ReadFile(argv[2]);
+  CLI::App app("A gatherer for lesson search and booking. Without a sub-command it serves.", "liftrudder");
+  std::string search_file;
+  app.add_option("--opensearch", search_file,
+                 "Serve the search API as this file says, in place of the platform");
+  std::function<int()> run;
+  lr::app::AddWhyCommand(app, run);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : lr::app::kBadUsage;
+  }
+  if (run) return run();
+  if (!search_file.empty()) {
+    std::string text = lr::config::ReadFile(search_file);
     lr::config::Config config = lr::config::Parse(text);
     lr::opensearch::Options options = lr::opensearch::ParseOptions(text, config);
-    Serve(argv[2], config, &options, lr::dns::ParseZoneOptions(text), signals);
+    Serve(search_file, config, &options, lr::dns::ParseZoneOptions(text), signals);
     return 0;
   }
-  if (argc != 1) throw std::runtime_error("usage: liftrudder [--opensearch FILE]");
   const char* path = std::getenv("BALANCER_CONFIG");
   if (path == nullptr) throw std::runtime_error("BALANCER_CONFIG names no configuration");
   Serve(path, lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, signals);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -78,6 +78,37 @@
 
 std::string_view HttpMessage::Path() const { return std::string_view(target).substr(0, target.find('?')); }
 
+std::string Unescape(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned code = 0;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(text.data() + i + 1, text.data() + i + 3, code, 16).ptr == text.data() + i + 3) {
+      out.push_back(static_cast<char>(code));
+      i += 2;
+    } else {
+      out.push_back(text[i] == '+' ? ' ' : text[i]);
+    }
+  }
+  return out;
+}
+
+std::vector<std::pair<std::string, std::string>> HttpMessage::Parameters() const {
+  std::vector<std::pair<std::string, std::string>> out;
+  auto mark = target.find('?');
+  std::string_view rest =
+      mark == std::string::npos ? std::string_view() : std::string_view(target).substr(mark + 1);
+  while (!rest.empty()) {
+    std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    auto equals = pair.find('=');
+    if (pair.empty()) continue;
+    out.emplace_back(Unescape(pair.substr(0, equals)),
+                     equals == std::string_view::npos ? std::string() : Unescape(pair.substr(equals + 1)));
+  }
+  return out;
+}
+
 std::optional<std::string_view> HttpMessage::Parameter(std::string_view name) const {
   auto mark = target.find('?');
   if (mark == std::string::npos) return std::nullopt;
@@ -212,9 +243,9 @@
 }
 
 std::string Format(const HttpResponse& response, bool close) {
-  std::string out = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n",
-                                response.status, Reason(response.status), response.type,
-                                response.body.size());
+  std::string out =
+      fmt::format("HTTP/1.1 {} {}\r\nContent-Type: {}\r\nContent-Length: {}\r\n", response.status,
+                  Reason(response.status), response.type, response.body.size());
   for (const auto& [name, value] : response.headers)
     fmt::format_to(std::back_inserter(out), "{}: {}\r\n", name, value);
   if (close) out += "Connection: close\r\n";
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -23,6 +23,8 @@
   const std::string* Header(std::string_view name) const;
   std::size_t Count(std::string_view name) const;
   std::string_view Path() const;
+  // All of them, names and values unescaped, in their order.
+  std::vector<std::pair<std::string, std::string>> Parameters() const;
   // The value of a query parameter in the target, as it stands there.
   std::optional<std::string_view> Parameter(std::string_view name) const;
 };
@@ -70,6 +72,9 @@
 
 std::string Format(const HttpResponse& response, bool close);
 
+// What a part of a target stands for: %XX and plus signs replaced.
+std::string Unescape(std::string_view text);
+
 }  // namespace liftrudder::net
 
 #endif  // LIFTRUDDER_NET_HTTP_H_
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -287,6 +287,7 @@
 }
 
 void Server::Work() {
+  std::vector<Served> served;
   std::unique_lock lock(mutex_);
   while (true) {
     if (ready_.empty()) {
@@ -298,21 +299,25 @@
     Place place = ready_.front();
     ready_.pop_front();
     lock.unlock();
-    Answer(place);
+    served.clear();
+    Answer(place, served);
     lock.lock();
   }
   --workers_;
   left_.notify_all();
 }
 
-void Server::Answer(Place place) try {
-  Exchange exchange{place->fd.Get(), place->received_us, draining_};
+void Server::Answer(Place place, std::vector<Served>& served) try {
+  Exchange exchange{place->fd.Get(), place->received_us, draining_, &served};
   auto response = handler_.Handle(place->parser.message(), exchange);
   if (!response) return static_cast<void>(Remove(place));
   // Told to end, we still serve those who are connected until new ones are turned away: sent off at once,
   // they would find nobody where another gatherer is just being replaced as well.
   bool close = response->close || place->parser.message().close || stopping_;
-  if (WriteAll(place->fd, Format(*response, close), kWriteWait).status != Io::kOk) {
+  std::string text = Format(*response, close);
+  Written written = WriteAll(place->fd, text, kWriteWait);
+  handler_.Wrote(served, response->status, written.bytes, written.status == Io::kOk);
+  if (written.status != Io::kOk) {
     Remove(place);
   } else if (close) {
     lingerer_.Take(Remove(place));
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -21,11 +21,18 @@
 
 namespace liftrudder::net {
 
+// A query that a response answers; status: its own where it has one, as in a multi-search, else 0.
+struct Served {
+  std::uint32_t query = 0;
+  int status = 0;
+};
+
 // What a handler knows of the connection it answers on.
 struct Exchange {
   int client = -1;         // to see the client go
   Micros received_us = 0;  // when the request's first byte was seen
   bool draining = false;
+  std::vector<Served>* served = nullptr;  // the handler enters which queries its response answers
 };
 
 class Handler {
@@ -36,6 +43,8 @@
   virtual std::optional<HttpResponse> Handle(HttpMessage& request, const Exchange& exchange) = 0;
   virtual HttpResponse Malformed() = 0;
   virtual HttpResponse Overloaded() = 0;
+  // A response has been written, to its end or not; on the thread that wrote it.
+  virtual void Wrote(const std::vector<Served>& served, int status, std::size_t bytes, bool whole) = 0;
 };
 
 struct ServerLimits {
@@ -85,7 +94,7 @@
 
   // A worker's thread: one request at a time, until there have been none for a while.
   void Work();
-  void Answer(Place place);
+  void Answer(Place place, std::vector<Served>& served);
   void Restart(Place place);
 
   Fd listener_;
--- /dev/null
+++ b/src/net/why_page.cpp
@@ -0,0 +1,30 @@
+#include "net/why_page.h"
+
+#include <fmt/format.h>
+
+namespace liftrudder::net {
+
+HttpResponse WhyPage(why::Desk* desk, const HttpMessage& request) {
+  HttpResponse out;
+  out.type = "text/plain";
+  if (desk == nullptr) {
+    out.status = 404;
+    out.body = "the record of decisions is off (why.bytes is 0)\n";
+    return out;
+  }
+  if (request.method != "GET") {
+    out.status = 405;
+    out.body = "only GET\n";
+    return out;
+  }
+  why::Reply reply = desk->Ask(request.Parameters());
+  out.status = reply.status;
+  if (reply.json) out.type = "application/json";
+  if (reply.retry_after_us > 0)
+    out.headers.emplace_back("Retry-After",
+                             fmt::format("{:.3f}", static_cast<double>(reply.retry_after_us) / 1e6));
+  out.body = std::move(reply.body);
+  return out;
+}
+
+}  // namespace liftrudder::net
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 
 #include "net/json.h"
+#include "net/why_page.h"
 #include "opensearch/holders.h"
 
 namespace liftrudder::opensearch {
@@ -17,7 +18,8 @@
 constexpr core::Micros kLastMoment = 5'000;  // before the client's time is up, should the core be busy
 constexpr core::Micros kAimSlack = 50'000;   // an end this near the aim or deadline was cut by time
 constexpr core::Micros kBusyRetryUs = 1'000'000;
-constexpr std::size_t kMaxSearches = 32;  // in one _msearch
+constexpr const char* kLabel = "X-Opaque-Id";  // a client's own name for a request
+constexpr std::size_t kMaxSearches = 32;       // in one _msearch
 
 std::vector<std::string> Steps(std::string_view path) {
   std::vector<std::string> out;
@@ -33,23 +35,31 @@
 }  // namespace
 
 Front::Front(const config::Config& config, const Options& options, core::Core& core, const core::Clock& clock,
-             metrics::Counters& counters)
+             metrics::Counters& counters, why::Desk* desk)
     : config_(config),
       options_(options),
       core_(core),
       clock_(clock),
       counters_(counters),
+      desk_(desk),
       scrolls_(options, clock, config.seed) {}
 
 net::HttpResponse Front::Malformed() {
+  core_.NoteDoor(why::Door::kUnreadable, why::FrontKind::kSearch, why::kNoClass, 400, "");
   return ErrorResponse({400, "parsing_exception", "the request cannot be read", 0});
 }
 net::HttpResponse Front::Overloaded() {
+  core_.NoteDoor(why::Door::kTooManyConnections, why::FrontKind::kSearch, why::kNoClass, 503, "");
   ApiError error = Unanswered("too many connections");
   error.retry_after_us = kBusyRetryUs;
   return ErrorResponse(error);
 }
 
+void Front::Wrote(const std::vector<net::Served>& served, int status, std::size_t bytes, bool whole) {
+  for (const net::Served& one : served)
+    core_.NoteGiven(one.query, one.status > 0 ? one.status : status, bytes, whole);
+}
+
 std::optional<net::HttpResponse> Front::Handle(net::HttpMessage& request, const net::Exchange& exchange) {
   net::HttpResponse out;
   std::string_view path = request.Path();
@@ -60,10 +70,17 @@
     out.body = counters_.Text();
     return out;
   }
+  if (path == "/-/why") return net::WhyPage(desk_, request);
   Result result = Route(request, exchange);
   if (std::holds_alternative<Gone>(result)) return std::nullopt;
   if (const auto* error = std::get_if<ApiError>(&result)) {
     if (error->status == 400) counters_.malformed.Add();
+    // What reached the core is in its record already.
+    if (exchange.served->empty() && error->status >= 400 && error->status < 429) {
+      const std::string* label = request.Header(kLabel);
+      core_.NoteDoor(why::Door::kMalformed, why::FrontKind::kSearch, why::kNoClass, error->status,
+                     label == nullptr ? "" : *label);
+    }
     return ErrorResponse(*error);
   }
   out.body = std::move(std::get<std::string>(result));
@@ -91,7 +108,7 @@
   return std::nullopt;
 }
 
-Front::Asked Front::Ask(const IndexOptions& index, std::string target, std::string body, bool count,
+Front::Asked Front::Ask(const IndexOptions& index, std::string target, std::string body, why::FrontKind kind,
                         bool whole, const net::HttpMessage& request, const net::Exchange& exchange) {
   core::QueryRequest query;
   query.class_index = whole ? index.whole_class_index : index.class_index;
@@ -101,7 +118,11 @@
     double seconds = json::Number(*budget).value_or(0);
     patience_us = std::min(patience_us, static_cast<core::Micros>(std::clamp(seconds, 0.0, 3600.0) * 1e6));
   }
+  query.received_us = exchange.received_us;
   query.deadline_us = exchange.received_us + patience_us;
+  query.front = kind;
+  if (const std::string* label = request.Header(kLabel)) query.label = *label;
+  bool count = kind == why::FrontKind::kCount;
   query.parts = index.parts;
   core::Payload payload;
   payload.call_id = fmt::format("{}{:x}-{}", count ? kCountMark : 's', config_.seed, ++asked_);
@@ -115,6 +136,7 @@
   asked.index = &index;
   asked.whole = whole;
   asked.id = core_.Admit(std::move(query), asked.reply);
+  if (asked.id) exchange.served->push_back({*asked.id, 0});
   return asked;
 }
 
@@ -129,11 +151,11 @@
       core_.Post(core::Hangup{*asked.id});
       return Gone{};
     case net::WaitingReply::End::kLate:
-      core_.Post(core::Hangup{*asked.id});
+      core_.Post(core::Hangup{*asked.id, why::Door::kLate});
       counters_.late.Add();
       return OutOfTime();
     case net::WaitingReply::End::kCrowded: {
-      core_.Post(core::Hangup{*asked.id});
+      core_.Post(core::Hangup{*asked.id, why::Door::kCrowded});
       ApiError error = BadRequest("one request at a time");
       error.close = true;
       return error;
@@ -158,12 +180,12 @@
 }
 
 Front::Asked Front::AskSearch(const std::string& index, const Search& search, const net::HttpMessage& request,
-                              const net::Exchange& exchange) {
+                              const net::Exchange& exchange, why::FrontKind kind) {
   std::string target = "/" + index + "/_search";
   if (!search.parameters.empty()) target += "?" + search.parameters.substr(1);
   // A page of a scroll with a shard missing would lose that shard's hits for good.
   bool whole = !search.allow_partial || search.keep_alive_us > 0;
-  return Ask(options_.indices.at(index), target, ShardBody(search), false, whole, request, exchange);
+  return Ask(options_.indices.at(index), target, ShardBody(search), kind, whole, request, exchange);
 }
 
 Front::Result Front::FinishSearch(const std::string& index, const Search& search, const Asked& asked,
@@ -192,7 +214,8 @@
   if (auto error = Locate(index)) return *error;
   Search search;
   if (auto error = ReadSearch(request, request.body, options_, search)) return *error;
-  return FinishSearch(index, search, AskSearch(index, search, request, exchange), exchange);
+  return FinishSearch(index, search, AskSearch(index, search, request, exchange, why::FrontKind::kSearch),
+                      exchange);
 }
 
 Front::Result Front::DoCount(const std::string& index, const net::HttpMessage& request,
@@ -212,7 +235,8 @@
     target += "?q=" + std::string(*request.Parameter("q"));
   }
   // A count over a part of the shards is wrong rather than partial.
-  Asked asked = Ask(options_.indices.at(index), target, request.body, true, true, request, exchange);
+  Asked asked =
+      Ask(options_.indices.at(index), target, request.body, why::FrontKind::kCount, true, request, exchange);
   Came came = Await(asked, exchange);
   if (auto* error = std::get_if<ApiError>(&came)) return std::move(*error);
   if (std::holds_alternative<Gone>(came)) return Gone{};
@@ -239,7 +263,8 @@
                     0};
   }
   return FinishSearch(cursor->index, cursor->search,
-                      AskSearch(cursor->index, cursor->search, request, exchange), exchange, id);
+                      AskSearch(cursor->index, cursor->search, request, exchange, why::FrontKind::kScroll),
+                      exchange, id);
 }
 
 Front::Result Front::DropScroll(const net::HttpMessage& request) {
@@ -293,7 +318,8 @@
     if (!header) one.error = BadRequest("only [index] is supported in the header of a search");
     if (!one.error) one.error = Locate(one.index);
     if (!one.error) one.error = ReadSearch(bare, lines[i + 1], options_, one.search);
-    if (!one.error) one.asked = AskSearch(one.index, one.search, bare, exchange);
+    if (!one.error)
+      one.asked = AskSearch(one.index, one.search, bare, exchange, why::FrontKind::kMultiSearch);
   }
   std::string out = fmt::format("{{\"took\":{},\"responses\":[", 0);
   for (One& one : all) {
@@ -307,6 +333,9 @@
     }
     if (&one != &all.front()) out += ',';
     if (auto* error = std::get_if<ApiError>(&result)) {
+      for (net::Served& served : *exchange.served) {
+        if (one.asked && one.asked->id == served.query) served.status = error->status;
+      }
       out += ErrorBody(*error);
     } else {
       std::string& body = std::get<std::string>(result);
--- a/src/opensearch/search.cpp
+++ b/src/opensearch/search.cpp
@@ -147,21 +147,6 @@
 
 }  // namespace
 
-std::string Unescape(std::string_view text) {
-  std::string out;
-  for (std::size_t i = 0; i < text.size(); ++i) {
-    unsigned code = 0;
-    if (text[i] == '%' && i + 2 < text.size() &&
-        std::from_chars(text.data() + i + 1, text.data() + i + 3, code, 16).ptr == text.data() + i + 3) {
-      out.push_back(static_cast<char>(code));
-      i += 2;
-    } else {
-      out.push_back(text[i] == '+' ? ' ' : text[i]);
-    }
-  }
-  return out;
-}
-
 std::optional<core::Micros> ReadSpan(std::string_view text) {
   std::int64_t count = 0;
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
--- a/src/opensearch/search.h
+++ b/src/opensearch/search.h
@@ -38,8 +38,7 @@
 // The body that each shard gets: all hits up to the page's end, with the sort spelled out.
 std::string ShardBody(const Search& search);
 
-// URL text with %XX and + undone.
-std::string Unescape(std::string_view text);
+using net::Unescape;
 
 }  // namespace liftrudder::opensearch
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -8,6 +8,7 @@
 #include <set>
 
 #include "net/json.h"
+#include "net/why_page.h"
 
 namespace liftrudder::platform {
 namespace {
@@ -16,7 +17,7 @@
 
 constexpr std::size_t kMaxParts = 1000;
 constexpr std::size_t kMaxName = 128;
-constexpr double kWeightSlack = 1e-3;     // weights sum to 1 but for what rounding takes off each of them
+constexpr double kWeightSlack = 1e-3;  // weights sum to 1 but for what rounding takes off each of them
 constexpr double kWeightRounding = 1e-4;
 constexpr core::Micros kLastMoment = 5'000;  // before the client's time is up, should the core be busy
 constexpr core::Micros kBusyRetryUs = 200'000;
@@ -68,7 +69,8 @@
   });
   auto shard = json::Integer(tablet);
   auto weight = json::Number(fraction);
-  if (!ok || !shard || !weight || *shard < 0 || *shard > INT32_MAX || *weight < 0 || *weight > 1) return false;
+  if (!ok || !shard || !weight || *shard < 0 || *shard > INT32_MAX || *weight < 0 || *weight > 1)
+    return false;
   part.shard = static_cast<int>(*shard);
   part.weight = *weight;
   if (!guess.empty()) {
@@ -88,8 +90,32 @@
 
 }  // namespace
 
-net::HttpResponse Front::Malformed() { return Problem(400, "the request cannot be read"); }
-net::HttpResponse Front::Overloaded() { return Refusal(503, kBusyRetryUs, "too many connections"); }
+net::HttpResponse Front::Malformed() {
+  core_.NoteDoor(why::Door::kUnreadable, why::FrontKind::kPlatform, why::kNoClass, 400, "");
+  return Problem(400, "the request cannot be read");
+}
+
+net::HttpResponse Front::Overloaded() {
+  core_.NoteDoor(why::Door::kTooManyConnections, why::FrontKind::kPlatform, why::kNoClass, 503, "");
+  return Refusal(503, kBusyRetryUs, "too many connections");
+}
+
+void Front::Wrote(const std::vector<net::Served>& served, int status, std::size_t bytes, bool whole) {
+  for (const net::Served& one : served)
+    core_.NoteGiven(one.query, one.status > 0 ? one.status : status, bytes, whole);
+}
+
+net::HttpResponse Front::Rejected(const net::HttpMessage& request, why::Door door,
+                                  net::HttpResponse response) {
+  counters_.malformed.Add();
+  const std::string* id = request.Header("X-Call-Id");
+  const std::string* name = request.Header("X-Call-Class");
+  auto found = name == nullptr ? config_.classes.end() : std::ranges::find(config_.classes, *name);
+  int index =
+      found == config_.classes.end() ? why::kNoClass : static_cast<int>(found - config_.classes.begin());
+  core_.NoteDoor(door, why::FrontKind::kPlatform, index, response.status, id == nullptr ? "" : *id);
+  return response;
+}
 
 std::optional<net::HttpResponse> Front::Handle(net::HttpMessage& request, const net::Exchange& exchange) {
   std::string_view path = request.Path();
@@ -101,6 +127,7 @@
     out.body = counters_.Text();
     return out;
   }
+  if (path == "/-/why") return net::WhyPage(desk_, request);
   if (path != "/api") return Problem(404, "no such path");
   if (request.method != "POST") return Problem(405, "only POST");
   return Query(request, exchange);
@@ -118,6 +145,7 @@
   if (!seconds || *seconds <= 0 || *seconds > 3600 || found == config_.classes.end()) return std::nullopt;
   core::QueryRequest query;
   query.class_index = static_cast<int>(found - config_.classes.begin());
+  query.received_us = received_us;
   query.deadline_us = received_us + static_cast<core::Micros>(*seconds * 1e6);
   const std::string* again = request.Header("X-Again");
   query.repeated = again != nullptr && *again == "1";
@@ -155,18 +183,14 @@
 
 std::optional<net::HttpResponse> Front::Query(net::HttpMessage& request, const net::Exchange& exchange) {
   auto query = Read(request, exchange.received_us);
-  if (!query) {
-    counters_.malformed.Add();
-    return Malformed();
-  }
+  if (!query) return Rejected(request, why::Door::kMalformed, Problem(400, "the request cannot be read"));
   request.body = std::string();  // all that is needed of it has been taken out
   // Guards the ids of parts, which are made from the query's: of two open queries they must differ.
   std::string id = query->payload->call_id;
   {
     std::lock_guard lock(mutex_);
     if (!open_.insert(id).second) {
-      counters_.malformed.Add();
-      return Problem(409, "a query with this id is open");
+      return Rejected(request, why::Door::kDuplicateId, Problem(409, "a query with this id is open"));
     }
   }
   auto response = Ask(std::move(*query), exchange);
@@ -180,16 +204,17 @@
   auto reply = std::make_shared<net::WaitingReply>();
   auto id = core_.Admit(std::move(query), reply);
   if (!id) return Refusal(503, kBusyRetryUs, "too many queries are open");
+  exchange.served->push_back({*id, 0});
   switch (reply->Wait(exchange.client, clock_, deadline_us - kLastMoment)) {
     case net::WaitingReply::End::kGone:
       core_.Post(core::Hangup{*id});
       return std::nullopt;
     case net::WaitingReply::End::kLate:
-      core_.Post(core::Hangup{*id});
+      core_.Post(core::Hangup{*id, why::Door::kLate});
       counters_.late.Add();
       return Problem(504, "no answer in time");
     case net::WaitingReply::End::kCrowded: {
-      core_.Post(core::Hangup{*id});
+      core_.Post(core::Hangup{*id, why::Door::kCrowded});
       counters_.malformed.Add();
       net::HttpResponse out = Problem(400, "one request at a time");
       out.close = true;
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -9,28 +9,33 @@
 #include "config/config.h"
 #include "core/core.h"
 #include "net/server.h"
+#include "why/desk.h"
 
 namespace liftrudder::platform {
 
 class Front : public net::Handler {
  public:
-  Front(const config::Config& config, core::Core& core, const core::Clock& clock, metrics::Counters& counters)
-      : config_(config), core_(core), clock_(clock), counters_(counters) {}
+  Front(const config::Config& config, core::Core& core, const core::Clock& clock, metrics::Counters& counters,
+        why::Desk* desk)
+      : config_(config), core_(core), clock_(clock), counters_(counters), desk_(desk) {}
 
   std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override;
   net::HttpResponse Malformed() override;
   net::HttpResponse Overloaded() override;
+  void Wrote(const std::vector<net::Served>& served, int status, std::size_t bytes, bool whole) override;
 
  private:
   std::optional<net::HttpResponse> Query(net::HttpMessage& request, const net::Exchange& exchange);
   std::optional<net::HttpResponse> Ask(core::QueryRequest query, const net::Exchange& exchange);
   // Nothing when the request is not one; `statement` and key stay as they came.
   std::optional<core::QueryRequest> Read(const net::HttpMessage& request, core::Micros received_us) const;
+  net::HttpResponse Rejected(const net::HttpMessage& request, why::Door door, net::HttpResponse response);
 
   const config::Config& config_;
   core::Core& core_;
   const core::Clock& clock_;
   metrics::Counters& counters_;
+  why::Desk* desk_;  // null: nothing is recorded
   std::mutex mutex_;
   std::set<std::string> open_;  // call ids of the queries that are open
 };
--- /dev/null
+++ b/src/why/desk.h
@@ -0,0 +1,61 @@
+// Answers questions about the record, for the fronts' `/-/why` page and for the command line: reads the
+// filter, bounds how often and how much is read, and puts the answer into text or JSON. Knows no socket. Any
+// thread; one question at a time, the others are turned away.
+#ifndef LIFTRUDDER_WHY_DESK_H_
+#define LIFTRUDDER_WHY_DESK_H_
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "why/reader.h"
+
+namespace liftrudder::why {
+
+using Parameters = std::vector<std::pair<std::string, std::string>>;  // names and values, unescaped
+
+struct Question {
+  Filter filter;
+  bool summary = false, json = false;
+};
+
+// What is asked, or what is wrong with it. Times are Unix seconds with decimals, 2026-12-01T09:30:00Z, or -90
+// (seconds before `now_us`).
+std::variant<Question, std::string> ReadQuestion(const Parameters& parameters, std::int64_t now_us);
+
+struct Reply {
+  int status = 200;  // as HTTP has them: 400, 404, 429
+  bool json = false;
+  std::string body;
+  std::int64_t retry_after_us = 0;
+};
+
+// The answer of a record that needs no bounds, such as a file.
+Reply AnswerFrom(const Arena& arena, const Question& question);
+
+class Desk {
+ public:
+  // `freshen` has the writer make all readable that it knows; called before each reading, bounded in time by
+  // whoever gives it. `now` is the program's clock.
+  Desk(const Arena& arena, std::function<void()> freshen, std::function<std::int64_t()> now)
+      : arena_(arena), freshen_(std::move(freshen)), now_(std::move(now)) {}
+
+  Reply Ask(const Parameters& parameters);
+
+ private:
+  const Arena& arena_;
+  std::function<void()> freshen_;
+  std::function<std::int64_t()> now_;
+  std::atomic<bool> busy_{false};
+  // Guarded by busy_.
+  double tokens_ = 0;
+  std::int64_t filled_us_ = 0;
+};
+
+}  // namespace liftrudder::why
+
+#endif  // LIFTRUDDER_WHY_DESK_H_
--- /dev/null
+++ b/src/why/ends.h
@@ -0,0 +1,26 @@
+// How an attempt can end: the values that both the core and the record of decisions speak. Plain data, any
+// thread.
+#ifndef LIFTRUDDER_WHY_ENDS_H_
+#define LIFTRUDDER_WHY_ENDS_H_
+
+#include <cstdint>
+
+namespace liftrudder::why {
+
+// How far an attempt had come when it ended, and why it ended. Whether it may have run follows from these
+// alone.
+enum class Progress : std::uint8_t { kNotConnected, kPartlyWritten, kWhollyWritten, kAnswering };
+enum class Cause : std::uint8_t {
+  kServed,
+  kBroke,
+  kSkipped,
+  kSpoilt,
+  kConnectionLost,
+  kWithdrawn,
+  kExpired,
+  kStale
+};
+
+}  // namespace liftrudder::why
+
+#endif  // LIFTRUDDER_WHY_ENDS_H_
--- /dev/null
+++ b/src/why/reader.h
@@ -0,0 +1,159 @@
+// Reads the record, of this program while it runs or from a file that a dead one left: finds queries by id or
+// filter and puts their lives together from blocks that may be changing under it. Never waits for the writer
+// and holds nothing it wants. Any thread; each call allocates what it returns and the index of heads, bounded
+// by the record's size.
+#ifndef LIFTRUDDER_WHY_READER_H_
+#define LIFTRUDDER_WHY_READER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "why/arena.h"
+#include "why/counts.h"
+
+namespace liftrudder::why {
+
+struct HolderName {
+  std::uint32_t number = 0;
+  std::string id, addr;  // id: "#number" where the name has been overwritten
+};
+
+struct ConsideredStory {
+  HolderName holder;
+  int out = 0;
+  tinsail::Standing standing = tinsail::Standing::kFit;
+  bool eligible = false;
+};
+
+struct AttemptStory {
+  int number = 0;
+  HolderName holder;
+  std::int64_t at_us = 0;  // all times: since the query's arrival
+  std::int64_t timeout_us = 0;
+  tinsail::SendKind kind = tinsail::SendKind::kFirst;
+  tinsail::OutcomeCode after = tinsail::OutcomeCode::kOk;
+  std::vector<ConsideredStory> considered;
+  int unlisted = 0;
+  std::optional<std::int64_t> cancelled_us;
+  tinsail::CancelWhy cancel_why = tinsail::CancelWhy::kAnswered;
+  std::optional<std::int64_t> ended_us;  // none: still out, or the record ends before
+  tinsail::OutcomeCode outcome = tinsail::OutcomeCode::kOk;
+  Progress progress = Progress::kNotConnected;
+  Cause cause = Cause::kServed;
+};
+
+struct HeldStory {
+  std::int64_t at_us = 0;
+  tinsail::HeldWhy why = tinsail::HeldWhy::kNone;
+  double figure = 0, bound = 0;
+  std::vector<ConsideredStory> considered;
+};
+
+struct PartStory {
+  int shard = 0;
+  double weight = 0;
+  std::int64_t work_us = 0;
+  std::vector<AttemptStory> attempts;
+  std::vector<HeldStory> held;
+};
+
+struct GivenStory {
+  std::int64_t at_us = 0;
+  int status = 0;
+  std::int64_t bytes = 0;
+  bool whole = true;
+};
+
+struct Story {
+  std::uint32_t serial = 0;    // of the record; grows with each query
+  std::string call_id, label;  // raw bytes, as a client chose them
+  std::uint64_t id_hash = 0, label_hash = 0;
+  bool id_cut = false, repeated = false;
+  bool events_cut = false;  // the query's share of the record was full
+  bool torn = false;        // a block of it could not be read
+  std::int64_t arrived_us = 0, budget_us = 0;
+  int class_index = 0;
+  std::string class_name;
+  FrontKind front = FrontKind::kPlatform;
+  int parts_told = 0;
+  std::vector<PartStory> parts;
+  Verdict verdict = Verdict::kOpen;
+  Door door = Door::kNone;
+  tinsail::EndCause cause = tinsail::EndCause::kUnstated;
+  double figure = 0, bound = 0;
+  HolderName blamed;  // of kHot
+  std::int64_t ended_us = 0, retry_after_us = 0;
+  int pieces = 0;
+  std::vector<GivenStory> given;
+};
+
+struct Filter {
+  std::optional<std::string> id;  // call id, or the client's own label
+  std::optional<std::string> class_name, holder;
+  std::optional<Verdict> verdict;
+  std::optional<std::string> reason;           // name of an EndCause or a Door
+  std::optional<std::int64_t> from_us, to_us;  // of arrival
+  std::size_t limit = 20;
+};
+
+// A query that was seen, kept or not.
+struct Sighting {
+  std::int64_t second = 0;  // when it ended or was turned away
+  Verdict verdict = Verdict::kOpen;
+  int class_index = 0;
+  std::uint8_t cause = 0;  // an EndCause, or a Door where turned away
+};
+
+struct Found {
+  std::vector<Story> stories;       // newest first
+  bool more = false;                // the limit was met
+  std::size_t busy = 0, torn = 0;   // blocks that were being written, or do not fit their checksum
+  std::vector<Sighting> sightings;  // asked for by id: when it was seen, whether kept or not
+  std::int64_t sightings_from = 0;  // seconds: sightings before this have been overwritten; 0: none have
+};
+
+struct Summary {
+  std::int64_t now_s = 0;                          // the newest second counted in
+  std::vector<std::uint64_t> last_minute, totals;  // by kind, as counts.h numbers them
+  struct Holder {
+    HolderName name;
+    std::uint64_t sent = 0, resent_after = 0, refused_for = 0, missing = 0;
+  };
+  std::vector<Holder> holders;                                  // with anything counted in the last minute
+  std::vector<std::pair<std::int64_t, std::uint64_t>> dropped;  // let go of or lost, by second
+  std::size_t blocks = 0, blocks_used = 0, bytes = 0;
+};
+
+class Reader {
+ public:
+  // `pause` is called now and then while a whole record is scanned, so that a caller can leave the core to
+  // others.
+  explicit Reader(const Arena& arena, std::function<void()> pause = {});
+
+  Found Find(const Filter& filter) const;
+  Summary Summarize() const;
+  const About& about() const { return about_; }
+
+ private:
+  struct Head {
+    std::uint32_t block, serial;
+  };
+  std::vector<Head> Heads(const Filter& filter, Found& found) const;
+  std::optional<Story> Read(Head head, Found& found) const;
+  bool Decode(const std::uint64_t* words, std::size_t count, Story& story) const;
+  std::vector<ConsideredStory> Choice(const std::uint64_t* words, std::size_t count) const;
+  HolderName Holder(std::uint32_t number) const;
+  bool Matches(const Story& story, const Filter& filter) const;
+  void Sight(const std::string& id, Found& found) const;
+
+  const Arena& arena_;
+  std::function<void()> pause_;
+  About about_;
+};
+
+}  // namespace liftrudder::why
+
+#endif  // LIFTRUDDER_WHY_READER_H_
--- /dev/null
+++ b/src/why/recorder.cpp
@@ -0,0 +1,532 @@
+#include "why/recorder.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <cstring>
+
+namespace liftrudder::why {
+namespace {
+
+constexpr std::size_t kMailSize = 256;    // notes
+constexpr int kMailWake = kMailSize / 2;  // from here on the core is woken for them
+constexpr std::size_t kLabelBytes = 48;
+constexpr std::uint32_t kBlocksShare = 16;  // one query may hold this part of all blocks at most
+constexpr double kDoorRate = 20;            // refusals at the door kept a second, in the long run
+constexpr double kDoorBurst = 40;
+constexpr std::size_t kMostEvent = kBlockWords - kBlockHeadWords;
+constexpr std::size_t kIndexSlot = 8, kPerBlock = sizeof(std::uint32_t) * 2 + 1;  // beside the arena, a block
+
+std::uint64_t Pair(std::uint32_t low, std::uint32_t high) { return std::uint64_t{high} << 32 | low; }
+std::uint64_t Pair(float low, float high) {
+  return Pair(std::bit_cast<std::uint32_t>(low), std::bit_cast<std::uint32_t>(high));
+}
+std::uint32_t Bits(double value) { return std::bit_cast<std::uint32_t>(static_cast<float>(value)); }
+
+// Beside each block of the arena lie a query's entry, its place in Retention, and a part of the lists and the
+// index.
+std::size_t Beside(std::size_t blocks, std::size_t entry_bytes) {
+  return blocks * (entry_bytes + 16 + kPerBlock) + std::bit_ceil(blocks * 2) * kIndexSlot +
+         kMailSize * Mailbox::BytesEach();
+}
+
+// The largest arena whose own bytes and what lies beside it are within `bytes`.
+std::size_t ArenaBytes(std::size_t bytes, std::size_t entry_bytes) {
+  std::size_t low = kLeastBytes / 4096, high = std::max(bytes, kLeastBytes) / 4096;
+  while (low < high) {
+    std::size_t middle = (low + high + 1) / 2;
+    Layout layout = Layout::Of(middle * 4096);
+    (layout.bytes + Beside(layout.blocks, entry_bytes) <= bytes ? low : high) =
+        layout.bytes + Beside(layout.blocks, entry_bytes) <= bytes ? middle : middle - 1;
+  }
+  return low * 4096;
+}
+
+std::size_t PutText(std::string_view text, std::uint64_t* words) {
+  std::size_t count = (text.size() + 7) / 8;
+  std::memset(words, 0, count * 8);
+  std::memcpy(words, text.data(), text.size());
+  return count;
+}
+
+}  // namespace
+
+std::uint64_t HashId(std::string_view id) { return XXH3_64bits(id.data(), id.size()); }
+
+void Note::SetId(std::string_view text) {
+  id_cut = text.size() > id.size();
+  id_bytes = static_cast<std::uint8_t>(std::min(text.size(), id.size()));
+  std::memcpy(id.data(), text.data(), id_bytes);
+  id_hash = HashId(text);
+}
+
+Recorder::Recorder(std::size_t bytes, const std::string& path, const About& about, std::uint64_t seed)
+    : arena_(path.empty() ? Arena::InMemory(ArenaBytes(bytes, sizeof(Entry)), about)
+                          : Arena::InFile(path, ArenaBytes(bytes, sizeof(Entry)), about)),
+      retention_(arena_.layout().blocks, seed),
+      mail_(kMailSize),
+      entries_(arena_.layout().blocks),
+      is_dirty_(arena_.layout().blocks),
+      index_(std::bit_ceil(arena_.layout().blocks * 2)) {
+  auto blocks = static_cast<std::uint32_t>(arena_.layout().blocks);
+  free_blocks_.reserve(blocks);
+  dirty_.reserve(blocks);
+  for (std::uint32_t block = blocks; block > 0; --block) {
+    free_blocks_.push_back(block - 1);
+    entries_[block - 1].next_free = free_entry_;
+    free_entry_ = block - 1;
+  }
+  most_blocks_ = std::max<std::uint32_t>(4, blocks / kBlocksShare);
+  claimed_ = arena_.layout().bytes + entries_.capacity() * sizeof(Entry) + retention_.BytesHeld() +
+             (free_blocks_.capacity() + dirty_.capacity()) * sizeof(std::uint32_t) + is_dirty_.capacity() +
+             index_.capacity() * sizeof(Slot) + mail_.Size() * Mailbox::BytesEach();
+}
+
+bool Recorder::Tell(const Note& note) {
+  if (!mail_.Push(note)) return true;
+  return mail_waits_.fetch_add(1, std::memory_order_relaxed) + 1 >= kMailWake;
+}
+
+// ---- Blocks and entries ----
+
+void Recorder::Touch(std::uint32_t block) {
+  if (is_dirty_[block] != 0) return;
+  is_dirty_[block] = 1;
+  dirty_.push_back(block);
+  arena_.BeginCell(WordOf(block));
+}
+
+std::uint32_t Recorder::TakeBlock() {
+  while (free_blocks_.empty()) {
+    auto victim = retention_.Victim(now_us_);
+    if (!victim) return kNoBlock;
+    LetGo(*victim);
+  }
+  std::uint32_t block = free_blocks_.back();
+  free_blocks_.pop_back();
+  return block;
+}
+
+void Recorder::LetGo(std::uint32_t number) {
+  Entry& entry = entries_[number];
+  std::uint64_t verdict = arena_.Load(WordOf(entry.head) + 2);
+  Group group = static_cast<Group>(verdict >> 58);
+  Count(kTallyDropped + static_cast<std::size_t>(group));
+  retention_.Drop(number);
+  for (std::uint32_t block = entry.head; block != kNoBlock;) {
+    Touch(block);
+    auto next = static_cast<std::uint32_t>(arena_.Load(WordOf(block) + 2));
+    arena_.Store(WordOf(block) + 1, 0);
+    free_blocks_.push_back(block);
+    block = next;
+  }
+  if (entry.query != 0) IndexErase(entry.query);
+  entry = {};
+  entry.next_free = free_entry_;
+  free_entry_ = number;
+}
+
+Recorder::Entry* Recorder::NewEntry(std::uint32_t query, std::int64_t arrived_us) {
+  std::uint32_t block = TakeBlock();
+  if (block == kNoBlock || free_entry_ == kNoBlock) {
+    if (block != kNoBlock) free_blocks_.push_back(block);
+    Count(kTallyLost + static_cast<std::size_t>(Lost::kNoRoom));
+    return nullptr;
+  }
+  std::uint32_t number = free_entry_;
+  Entry& entry = entries_[number];
+  free_entry_ = entry.next_free;
+  entry = {};
+  entry.serial = next_serial_++;
+  if (next_serial_ == 0) next_serial_ = 1;
+  entry.query = query;
+  entry.arrived_us = arrived_us;
+  entry.head = entry.tail = block;
+  entry.blocks = 1;
+  Touch(block);
+  arena_.Store(WordOf(block) + 1, entry.serial);
+  arena_.Store(WordOf(block) + 2, kNoBlock);
+  if (query != 0) IndexPut(query, number);
+  return &entry;
+}
+
+std::uint32_t Recorder::NewBlock(Entry& entry) {
+  if (entry.blocks >= most_blocks_) return kNoBlock;
+  // Guards an ended query against being let go of for a block of its own.
+  auto number = static_cast<std::uint32_t>(&entry - entries_.data());
+  std::uint32_t serial = entry.serial;
+  std::uint32_t block = TakeBlock();
+  if (block == kNoBlock) return kNoBlock;
+  if (entries_[number].serial != serial) {
+    free_blocks_.push_back(block);
+    return kNoBlock;
+  }
+  Touch(block);
+  arena_.Store(WordOf(block) + 1, Pair(entry.serial, entry.blocks));
+  arena_.Store(WordOf(block) + 2, kNoBlock);
+  Touch(entry.tail);
+  std::uint64_t link = arena_.Load(WordOf(entry.tail) + 2);
+  arena_.Store(WordOf(entry.tail) + 2, (link & ~std::uint64_t{0xffffffff}) | block);
+  entry.tail = block;
+  ++entry.blocks;
+  if (entry.kept) retention_.Grow(number);
+  return block;
+}
+
+void Recorder::Append(Entry& entry, std::span<const std::uint64_t> words) {
+  std::uint64_t use = arena_.Load(WordOf(entry.tail) + 1);
+  std::size_t used = use >> 48;
+  if (used + words.size() > kMostEvent) {
+    std::uint32_t serial = entry.serial;
+    if (NewBlock(entry) == kNoBlock) {
+      Count(kTallyLost + static_cast<std::size_t>(Lost::kCut));
+      if (entry.serial != serial) return;
+      Touch(entry.head);
+      arena_.Store(WordOf(entry.head) + 2,
+                   arena_.Load(WordOf(entry.head) + 2) | std::uint64_t{kFlagCut} << 48);
+      return;
+    }
+    use = arena_.Load(WordOf(entry.tail) + 1);
+    used = 0;
+  }
+  Touch(entry.tail);
+  std::size_t at = WordOf(entry.tail);
+  for (std::size_t i = 0; i < words.size(); ++i) arena_.Store(at + kBlockHeadWords + used + i, words[i]);
+  arena_.Store(at + 1, (use & 0xffffffffffffULL) | std::uint64_t{used + words.size()} << 48);
+}
+
+// The head's third word: next block, verdict, cause, flags, and the group (6 bits from 58) it is kept in.
+void Recorder::SetHead(const Entry& entry, Verdict verdict, std::uint8_t cause, std::uint8_t flags) {
+  Touch(entry.head);
+  std::uint64_t word = arena_.Load(WordOf(entry.head) + 2);
+  std::uint64_t kept_flags = word >> 48 & 0xff;
+  arena_.Store(WordOf(entry.head) + 2, (word & 0xffffffff) |
+                                           std::uint64_t{static_cast<std::uint8_t>(verdict)} << 32 |
+                                           std::uint64_t{cause} << 40 | (kept_flags | flags) << 48);
+}
+
+// ---- The index of queries by number ----
+
+void Recorder::IndexPut(std::uint32_t query, std::uint32_t entry) {
+  std::size_t mask = index_.size() - 1;
+  std::size_t at = query * 0x9e3779b1u & mask;
+  while (index_[at].entry != kNoBlock && index_[at].query != query) at = (at + 1) & mask;
+  index_[at] = {query, entry};
+}
+
+void Recorder::IndexErase(std::uint32_t query) {
+  std::size_t mask = index_.size() - 1;
+  std::size_t at = query * 0x9e3779b1u & mask;
+  while (index_[at].entry != kNoBlock && index_[at].query != query) at = (at + 1) & mask;
+  if (index_[at].entry == kNoBlock) return;
+  // Backward shift: those behind it move up, as far as their own place allows.
+  for (std::size_t next = (at + 1) & mask; index_[next].entry != kNoBlock; next = (next + 1) & mask) {
+    std::size_t home = index_[next].query * 0x9e3779b1u & mask;
+    if (((next - home) & mask) >= ((next - at) & mask)) {
+      index_[at] = index_[next];
+      at = next;
+    }
+  }
+  index_[at] = {};
+}
+
+Recorder::Entry* Recorder::Find(std::uint32_t query) {
+  std::size_t mask = index_.size() - 1;
+  for (std::size_t at = query * 0x9e3779b1u & mask; index_[at].entry != kNoBlock; at = (at + 1) & mask) {
+    if (index_[at].query == query) return &entries_[index_[at].entry];
+  }
+  return nullptr;
+}
+
+// ---- Events ----
+
+std::uint32_t Recorder::Since(const Entry& entry) const {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(now_us_ - entry.arrived_us, 0, 0xffffffff));
+}
+
+std::uint64_t Recorder::First(EventKind kind, std::size_t words, std::uint32_t operand,
+                              std::uint32_t time) const {
+  return static_cast<std::uint64_t>(kind) | std::uint64_t{words} << 8 |
+         std::uint64_t{operand & 0xffff} << 16 | std::uint64_t{time} << 32;
+}
+
+void Recorder::AddChoice(const tinsail::Choice& choice, std::uint64_t* words, std::size_t& count) const {
+  for (std::size_t i = 0; i < choice.count; ++i) {
+    const tinsail::Considered& one = choice.replicas[i];
+    words[count++] =
+        Pair(one.replica.address, std::uint32_t{one.out} |
+                                      std::uint32_t{static_cast<std::uint8_t>(one.standing)} << 16 |
+                                      std::uint32_t{one.eligible} << 24);
+  }
+}
+
+void Recorder::Holder(std::uint32_t number, std::string_view id, std::string_view addr) {
+  const Layout& layout = arena_.layout();
+  std::size_t at = layout.holder_at + number % layout.holders * kHolderWords;
+  std::array<std::uint64_t, kHolderWords> words{};
+  // Words 1 to 15: number and lengths, 72 bytes of id, 40 of address.
+  id = id.substr(0, 72);
+  addr = addr.substr(0, 40);
+  words[1] = Pair(number, static_cast<std::uint32_t>(id.size() | addr.size() << 8));
+  PutText(id, words.data() + 2);
+  PutText(addr, words.data() + 11);
+  bool same = true;
+  for (std::size_t i = 1; i < kHolderWords; ++i) same = same && arena_.Load(at + i) == words[i];
+  if (same) return;
+  auto before = static_cast<std::uint32_t>(arena_.Load(at + 1));
+  if (before != 0 && before != number) {
+    Count(kTallyLost + static_cast<std::size_t>(Lost::kHolderName));
+    std::size_t tally = layout.holder_tally_at + number % layout.holders * kHolderTallies;
+    for (std::size_t i = 0; i < kHolderTallies; ++i) arena_.Store(tally + i, 0);
+  }
+  arena_.BeginCell(at);
+  for (std::size_t i = 1; i < kHolderWords; ++i) arena_.Store(at + i, words[i]);
+  arena_.EndCell(at, kHolderWords);
+}
+
+void Recorder::Open(const Opened& query, std::span<const OpenedPart> parts) {
+  // A number that came round again after 2^32: the old query is no longer found by it.
+  if (Entry* old = Find(query.query)) {
+    IndexErase(query.query);
+    old->query = 0;
+  }
+  std::uint64_t hash = HashId(query.call_id);
+  auto class_index = static_cast<std::uint8_t>(std::clamp(query.class_index, 0, 255));
+  Entry* entry = NewEntry(query.query, query.arrived_us);
+  if (entry == nullptr) return Seen(hash, Verdict::kOpen, class_index, 0);
+  entry->id_hash = hash;
+  entry->class_index = class_index;
+  std::string_view id = query.call_id.substr(0, kNoteId), label = query.label.substr(0, kLabelBytes);
+  std::array<std::uint64_t, kMostEvent> words;
+  std::uint64_t budget = static_cast<std::uint64_t>(
+      std::clamp<std::int64_t>(query.deadline_us - query.arrived_us, 0, 0xffffffff));
+  words[1] = static_cast<std::uint64_t>(query.arrived_us);
+  words[2] = budget | std::uint64_t{std::min<std::size_t>(parts.size(), 0xffff)} << 32 |
+             std::uint64_t{class_index} << 48 | std::uint64_t{static_cast<std::uint8_t>(query.front)} << 56;
+  words[3] = hash;
+  words[4] = HashId(query.label);
+  std::size_t count = 5;
+  count += PutText(id, words.data() + count);
+  count += PutText(label, words.data() + count);
+  words[0] = First(EventKind::kOpen, count, static_cast<std::uint32_t>(id.size() | label.size() << 8), 0);
+  Append(*entry, {words.data(), count});
+  std::uint8_t flags =
+      (id.size() < query.call_id.size() ? kFlagIdCut : 0) | (query.repeated ? kFlagRepeated : 0);
+  SetHead(*entry, Verdict::kOpen, 0, flags);
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const OpenedPart& part = parts[i];
+    words[0] =
+        First(EventKind::kPart, 2, static_cast<std::uint32_t>(i), static_cast<std::uint32_t>(part.shard));
+    words[1] = Pair(Bits(part.weight),
+                    static_cast<std::uint32_t>(std::clamp<std::int64_t>(part.work_us, 0, 0xffffffff)));
+    Append(*entry, {words.data(), 2});
+  }
+}
+
+void Recorder::Sent(std::uint32_t query, int part, int attempt, const tinsail::Send& send) {
+  std::uint32_t holder = send.replica.address;
+  CountHolder(holder, HolderTally::kSent);
+  Count(kTallySend + static_cast<std::size_t>(send.why.kind));
+  if (send.why.kind == tinsail::SendKind::kResend)
+    Count(kTallyAfter + static_cast<std::size_t>(send.why.after));
+  Entry* entry = Find(query);
+  if (entry == nullptr) return;
+  if (attempt > 0) {
+    entry->eventful = true;
+    if (entry->blamed != 0 && send.why.kind == tinsail::SendKind::kResend)
+      CountHolder(entry->blamed, HolderTally::kResentAfter);
+  }
+  std::array<std::uint64_t, kMostEvent> words;
+  const tinsail::Choice& choice = send.why.choice;
+  words[1] =
+      Pair(holder, static_cast<std::uint32_t>(attempt & 0xff) |
+                       std::uint32_t{static_cast<std::uint8_t>(send.why.kind)} << 8 |
+                       static_cast<std::uint32_t>(send.why.after) << 16 | std::uint32_t{choice.count} << 24);
+  words[2] = Pair(static_cast<std::uint32_t>(std::clamp<std::int64_t>(send.timeout_us, 0, 0xffffffff)),
+                  choice.unlisted);
+  std::size_t count = 3;
+  AddChoice(choice, words.data(), count);
+  words[0] = First(EventKind::kSend, count, static_cast<std::uint32_t>(part), Since(*entry));
+  Append(*entry, {words.data(), count});
+}
+
+void Recorder::Ended(std::uint32_t query, int part, int attempt, std::uint32_t holder,
+                     tinsail::OutcomeCode code, Progress progress, Cause cause) {
+  Entry* entry = Find(query);
+  if (entry == nullptr) return;
+  using tinsail::OutcomeCode;
+  if (code != OutcomeCode::kOk && code != OutcomeCode::kCancelled && code != OutcomeCode::kMoot)
+    entry->blamed = holder;
+  std::uint64_t words[2] = {First(EventKind::kEnd, 2, static_cast<std::uint32_t>(part), Since(*entry)),
+                            static_cast<std::uint64_t>(attempt & 0xff) |
+                                static_cast<std::uint64_t>(code) << 8 |
+                                std::uint64_t{static_cast<std::uint8_t>(progress)} << 16 |
+                                std::uint64_t{static_cast<std::uint8_t>(cause)} << 24};
+  Append(*entry, words);
+}
+
+void Recorder::Cancelled(std::uint32_t query, int part, const tinsail::Cancel& cancel) {
+  Entry* entry = Find(query);
+  if (entry == nullptr) return;
+  using tinsail::CancelWhy;
+  entry->eventful |= cancel.why == CancelWhy::kLooksSick || cancel.why == CancelWhy::kDeadConnection;
+  std::uint64_t words[2] = {First(EventKind::kCancel, 2, static_cast<std::uint32_t>(part), Since(*entry)),
+                            static_cast<std::uint64_t>(cancel.attempt & 0xff) |
+                                std::uint64_t{static_cast<std::uint8_t>(cancel.why)} << 8};
+  Append(*entry, words);
+}
+
+void Recorder::Held(std::uint32_t query, int part, const tinsail::PartHeld& held) {
+  Count(kTallyHeld + static_cast<std::size_t>(held.why));
+  Entry* entry = Find(query);
+  if (entry == nullptr) return;
+  entry->eventful |= held.why != tinsail::HeldWhy::kCut && held.why != tinsail::HeldWhy::kHeadStart;
+  std::array<std::uint64_t, kMostEvent> words;
+  words[1] = Pair(held.figure, held.bound);
+  words[2] = Pair(static_cast<std::uint8_t>(held.why),
+                  std::uint32_t{held.choice.count} | std::uint32_t{held.choice.unlisted} << 8);
+  std::size_t count = 3;
+  AddChoice(held.choice, words.data(), count);
+  words[0] = First(EventKind::kHeld, count, static_cast<std::uint32_t>(part), Since(*entry));
+  Append(*entry, {words.data(), count});
+}
+
+void Recorder::Final(std::uint32_t query, Verdict verdict, const tinsail::EndWhy& why, Door door,
+                     std::int64_t retry_after_us, int pieces) {
+  Count(kTallyVerdict + static_cast<std::size_t>(verdict));
+  Count(kTallyEnd + static_cast<std::size_t>(why.cause));
+  if (door != Door::kNone) Count(kTallyDoor + static_cast<std::size_t>(door));
+  Entry* entry = Find(query);
+  if (entry == nullptr || entry->ended) return;
+  entry->ended = true;
+  bool given_up = verdict == Verdict::kRefused || verdict == Verdict::kFailed || verdict == Verdict::kLate;
+  std::uint32_t whose = why.replica.address != 0 ? why.replica.address : entry->blamed;
+  if (given_up && whose != 0 && why.cause != tinsail::EndCause::kPressure)
+    CountHolder(whose, HolderTally::kRefusedFor);
+  if (verdict == Verdict::kPartial && entry->blamed != 0) CountHolder(entry->blamed, HolderTally::kMissing);
+  auto cause = static_cast<std::uint8_t>(why.cause);
+  std::uint64_t words[4] = {
+      First(EventKind::kFinal, 4, static_cast<std::uint32_t>(verdict) | std::uint32_t{cause} << 8,
+            Since(*entry)),
+      Pair(why.figure, why.bound),
+      Pair(why.replica.address,
+           static_cast<std::uint32_t>(std::clamp<std::int64_t>(retry_after_us, 0, 0xffffffff))),
+      Pair(static_cast<std::uint32_t>(pieces), static_cast<std::uint8_t>(door))};
+  std::uint32_t serial = entry->serial;
+  Append(*entry, words);
+  if (entry->serial != serial) return;
+  Group group = verdict == Verdict::kRefused                               ? Group::kRefused
+                : verdict == Verdict::kPartial                             ? Group::kPartial
+                : verdict == Verdict::kFailed || verdict == Verdict::kLate ? Group::kFailed
+                : verdict == Verdict::kGone                                ? Group::kGone
+                : entry->eventful                                          ? Group::kEventful
+                                                                           : Group::kOrdinary;
+  SetHead(*entry, verdict, cause, 0);
+  arena_.Store(WordOf(entry->head) + 2,
+               arena_.Load(WordOf(entry->head) + 2) | std::uint64_t{static_cast<std::uint8_t>(group)} << 58);
+  entry->kept = true;
+  retention_.Keep(static_cast<std::uint32_t>(entry - entries_.data()),
+                  Retention::Stratum(group, entry->class_index), now_us_, entry->blocks);
+  Seen(entry->id_hash, verdict, entry->class_index, cause);
+}
+
+// ---- What the fronts tell ----
+
+void Recorder::Flush() {
+  mail_waits_.store(0, std::memory_order_relaxed);
+  Note note;
+  for (std::size_t i = 0; i < mail_.Size() && mail_.Pop(note); ++i) Take(note);
+  if (std::uint64_t lost = mail_.TakeLost())
+    Count(kTallyLost + static_cast<std::size_t>(Lost::kMailFull), lost);
+  for (std::uint32_t block : dirty_) {
+    arena_.EndCell(WordOf(block), kBlockWords);
+    is_dirty_[block] = 0;
+  }
+  dirty_.clear();
+  flushes_.fetch_add(1, std::memory_order_release);
+}
+
+void Recorder::Take(const Note& note) {
+  if (note.door != Door::kNone) return TakeDoor(note);
+  Entry* entry = Find(note.query);
+  if (entry == nullptr) return;
+  auto time =
+      static_cast<std::uint32_t>(std::clamp<std::int64_t>(note.at_us - entry->arrived_us, 0, 0xffffffff));
+  std::uint64_t words[2] = {First(EventKind::kGiven, 2, note.status, time),
+                            Pair(note.bytes, std::uint32_t{note.whole})};
+  Append(*entry, words);
+}
+
+void Recorder::TakeDoor(const Note& note) {
+  Count(kTallyDoor + static_cast<std::size_t>(note.door));
+  Count(kTallyVerdict + static_cast<std::size_t>(Verdict::kTurnedAway));
+  auto cause = static_cast<std::uint8_t>(static_cast<std::size_t>(note.door));
+  if (note.id_bytes > 0) Seen(note.id_hash, Verdict::kTurnedAway, note.class_index, cause);
+  // Guards the record, and the core's time, against a flood of what cannot be read: it is counted all the
+  // same.
+  double passed = static_cast<double>(now_us_ - door_us_) / 1e6;
+  door_tokens_ = std::min(kDoorBurst, door_tokens_ + std::max(passed, 0.0) * kDoorRate);
+  door_us_ = now_us_;
+  if (door_tokens_ < 1) return Count(kTallyLost + static_cast<std::size_t>(Lost::kDoorRate));
+  door_tokens_ -= 1;
+  Entry* entry = NewEntry(0, note.at_us);
+  if (entry == nullptr) return;
+  entry->id_hash = note.id_hash;
+  entry->class_index = note.class_index;
+  entry->ended = entry->kept = true;
+  std::array<std::uint64_t, kMostEvent> words;
+  words[1] = static_cast<std::uint64_t>(note.at_us);
+  words[2] = Pair(note.status, std::uint32_t{note.parts} | std::uint32_t{note.class_index} << 16 |
+                                   std::uint32_t{static_cast<std::uint8_t>(note.front)} << 24);
+  words[3] = note.id_hash;
+  words[4] = Pair(note.figure, note.bound);
+  std::size_t count = 5 + PutText({note.id.data(), note.id_bytes}, words.data() + 5);
+  words[0] = First(EventKind::kDoor, count, note.id_bytes | std::uint32_t{cause} << 8, 0);
+  Append(*entry, {words.data(), count});
+  SetHead(*entry, Verdict::kTurnedAway, cause, note.id_cut ? kFlagIdCut : 0);
+  arena_.Store(WordOf(entry->head) + 2,
+               arena_.Load(WordOf(entry->head) + 2) |
+                   std::uint64_t{static_cast<std::uint8_t>(Group::kTurnedAway)} << 58);
+  retention_.Keep(static_cast<std::uint32_t>(entry - entries_.data()),
+                  Retention::Stratum(Group::kTurnedAway, note.class_index), now_us_, entry->blocks);
+}
+
+// ---- Counts ----
+
+// A word is a second and a count: a slot that an older second has is begun anew, and one word never tears.
+void Recorder::Count(std::size_t kind, std::uint64_t n) {
+  const Layout& layout = arena_.layout();
+  arena_.Store(layout.total_at + kind, arena_.Load(layout.total_at + kind) + n);
+  auto second = static_cast<std::uint32_t>(now_us_ / 1'000'000);
+  std::size_t at = layout.tally_at + second % kSeconds * kTallies + kind;
+  std::uint64_t word = arena_.Load(at);
+  std::uint64_t count = word >> 32 == second ? (word & 0xffffffff) + n : n;
+  arena_.Store(at, std::uint64_t{second} << 32 | std::min<std::uint64_t>(count, 0xffffffff));
+}
+
+void Recorder::CountHolder(std::uint32_t holder, HolderTally kind) {
+  const Layout& layout = arena_.layout();
+  auto bucket = static_cast<std::uint32_t>(now_us_ / 1'000'000 / kBucketSeconds);
+  std::size_t at = layout.holder_tally_at + holder % layout.holders * kHolderTallies +
+                   static_cast<std::size_t>(kind) * 8 + bucket % 8;
+  std::uint64_t word = arena_.Load(at);
+  std::uint64_t count = word >> 32 == bucket ? (word & 0xffffffff) + 1 : 1;
+  arena_.Store(at, std::uint64_t{bucket} << 32 | std::min<std::uint64_t>(count, 0xffffffff));
+}
+
+// Two words: the id's hash; the second, verdict, class, cause and, against a torn pair, eight bits of the
+// hash.
+void Recorder::Seen(std::uint64_t id_hash, Verdict verdict, std::uint8_t class_index, std::uint8_t cause) {
+  const Layout& layout = arena_.layout();
+  std::size_t at = layout.seen_at + next_seen_++ % layout.seen * 2;
+  auto second = static_cast<std::uint32_t>(now_us_ / 1'000'000);
+  arena_.Store(at + 1, 0);
+  arena_.Store(at, id_hash);
+  arena_.Store(at + 1, Pair(second, std::uint32_t{static_cast<std::uint8_t>(verdict)} |
+                                        std::uint32_t{class_index} << 8 | std::uint32_t{cause} << 16 |
+                                        static_cast<std::uint32_t>(id_hash & 0xff) << 24));
+}
+
+}  // namespace liftrudder::why
--- /dev/null
+++ b/src/why/retention.h
@@ -0,0 +1,79 @@
+// Decides which ended query the record lets go of when room is short: never the only witnesses of something
+// rare for more of something common. Does no I/O, knows no clock (times are handed in) and allocates only
+// when it is made. One object, one thread.
+//
+// Each query belongs to a stratum, its group (how it ended) and class. A stratum has a share of the blocks by
+// its group's worth to those who ask; what it does not use is lent, and called back as it fills. Within a
+// stratum, queries lie in slices of time that widen with age, so that a burst thins out its own seconds and
+// not the minutes before it.
+#ifndef LIFTRUDDER_WHY_RETENTION_H_
+#define LIFTRUDDER_WHY_RETENTION_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "why/counts.h"
+
+namespace liftrudder::why {
+
+constexpr std::size_t kClassStrata = 4;  // classes beyond these share the last
+constexpr std::size_t kStrata = kGroups * kClassStrata;
+constexpr std::size_t kSlices = 24;           // of a stratum
+constexpr std::int64_t kSliceUs = 1'000'000;  // the narrowest
+
+class Retention {
+ public:
+  // `entries`: how many queries can be kept at once, each named by a number below that.
+  Retention(std::size_t entries, std::uint64_t seed);
+
+  static std::size_t Stratum(Group group, std::size_t class_index);
+
+  // Takes in an ended query that holds so many blocks. Times must not run back; one that does counts as the
+  // newest.
+  void Keep(std::uint32_t entry, std::size_t stratum, std::int64_t now_us, std::uint32_t blocks);
+  // A kept query has come to hold one block more.
+  void Grow(std::uint32_t entry);
+  void Drop(std::uint32_t entry);
+  // The one to let go of next; nothing when none is kept. It stays until it is dropped.
+  std::optional<std::uint32_t> Victim(std::int64_t now_us);
+
+  // For tests and figures.
+  std::uint64_t Blocks(std::size_t stratum) const { return strata_[stratum].blocks; }
+  std::size_t BytesHeld() const { return places_.capacity() * sizeof(Place); }
+
+ private:
+  static constexpr std::uint32_t kNone = ~std::uint32_t{0};
+  struct Place {
+    std::uint32_t before = kNone, after = kNone;  // a ring of the queries of one slice
+    std::uint32_t blocks = 0;
+    std::uint16_t stratum = 0;
+    std::uint16_t slice = 0;  // where in its stratum's `slices`
+  };
+  struct Slice {
+    bool used = false;
+    std::int64_t from_us = 0, to_us = 0;
+    std::uint64_t blocks = 0;
+    std::uint32_t any = kNone;  // one of its queries; the walk goes on from there
+  };
+  struct StratumState {
+    std::uint64_t blocks = 0;
+    std::array<Slice, kSlices> slices;
+    std::size_t newest = 0;
+  };
+
+  Slice& SliceFor(StratumState& stratum, std::int64_t now_us);
+  void Merge(StratumState& stratum, std::int64_t now_us);
+  void Link(Slice& slice, std::uint32_t entry);
+  void Unlink(Slice& slice, std::uint32_t entry);
+  std::uint64_t Random();
+
+  std::vector<Place> places_;
+  std::array<StratumState, kStrata> strata_;
+  std::uint64_t random_;
+};
+
+}  // namespace liftrudder::why
+
+#endif  // LIFTRUDDER_WHY_RETENTION_H_
--- /dev/null
+++ b/tests/why_fleet_test.cpp
@@ -0,0 +1,405 @@
+// Every kept query's explanation against what the holders and the clients saw themselves: attempt by attempt,
+// both ways, over more than 2,000 queries through skips, resets, errors, silence, spoilt answers, a drain, a
+// burst and clients that leave. The program is killed at the end and its record read from the file that it
+// left.
+#define CATCH_CONFIG_MAIN
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "net/http.h"
+#include "net/json.h"
+#include "standin/discovery.h"
+#include "standin/holder.h"
+#include "why/reader.h"
+#include "why/recorder.h"
+
+using namespace liftrudder;
+using standin::Act;
+using tinsail::OutcomeCode;
+using why::Cause;
+using why::Progress;
+using why::Verdict;
+
+namespace {
+
+constexpr int kHolders = 6, kClients = 24, kEach = 100, kBurst = 40;
+constexpr net::Micros kPatience = 20'000'000;  // ends a test that hangs
+
+struct Given {
+  int status = 0;  // 0: the client left before its answer
+  bool full = false;
+  std::string class_name;
+};
+
+// What the outside saw.
+struct Outside {
+  std::map<std::string, std::vector<standin::LoggedPart>> holders;  // by holder id
+  std::map<std::string, Given> clients;                             // by call id
+};
+
+bool Reached(const why::AttemptStory& one) {
+  return one.ended_us && (one.progress == Progress::kWhollyWritten || one.progress == Progress::kAnswering);
+}
+
+// What does not fit, in words; empty: the stories and the outside agree.
+std::vector<std::string> Compare(const std::vector<why::Story>& stories, const Outside& outside) {
+  std::vector<std::string> wrong;
+  // Holder by holder and part by part, in their order.
+  std::map<std::pair<std::string, std::string>, std::vector<const standin::LoggedPart*>> logged;
+  std::map<std::string, std::vector<std::string>> parts_of;  // part ids logged, by call id
+  for (const auto& [holder, log] : outside.holders) {
+    for (const standin::LoggedPart& one : log) {
+      logged[{holder, one.part}].push_back(&one);
+      parts_of[one.part.substr(0, one.part.rfind('.'))].push_back(holder + " " + one.part);
+    }
+  }
+  for (const why::Story& story : stories) {
+    auto bad = [&](const std::string& what) { wrong.push_back(story.call_id + ": " + what); };
+    auto client = outside.clients.find(story.call_id);
+    if (client == outside.clients.end()) {
+      bad("no client asked this");
+      continue;
+    }
+    const Given& given = client->second;
+    if (given.class_name != story.class_name) bad("another class");
+    if (given.status == 0) {
+      if (story.verdict == Verdict::kOpen) bad("the client left, and it is open");
+    } else {
+      if (story.given.size() != 1 || story.given[0].status != given.status) bad("another status");
+      bool answered = story.verdict == Verdict::kWhole || story.verdict == Verdict::kPartial;
+      if ((given.status == 200) != answered) bad("another verdict");
+      if (given.status == 200 && given.full != (story.verdict == Verdict::kWhole)) bad("whole or not");
+      if (given.status == 429 && story.verdict != Verdict::kRefused) bad("not refused");
+    }
+    std::size_t explained = 0;
+    int pieces = 0;
+    for (const why::PartStory& part : story.parts) {
+      std::string id = fmt::format("{}.{}", story.call_id, part.shard);
+      std::map<std::string, std::vector<const why::AttemptStory*>> sent;
+      bool in = false;
+      for (const why::AttemptStory& one : part.attempts) {
+        if (!one.ended_us) bad(id + ": an attempt without an end");
+        // A frame cut short is not in a holder's log; one that was withdrawn while it was written is.
+        bool withdrawn = one.ended_us && one.progress == Progress::kPartlyWritten &&
+                         (one.cause == Cause::kWithdrawn || one.cause == Cause::kExpired);
+        if (Reached(one) || withdrawn) sent[one.holder.id].push_back(&one);
+        in = in || (one.ended_us && one.cause == Cause::kServed && *one.ended_us <= story.ended_us);
+        bool chosen = false;
+        for (const why::ConsideredStory& each : one.considered)
+          chosen = chosen || each.holder.id == one.holder.id;
+        if (!chosen) bad(id + ": sent to a holder that was not looked at");
+        if (one.number > 0 && one.kind == tinsail::SendKind::kFirst) bad(id + ": a second first try");
+        if (one.kind == tinsail::SendKind::kResend) {
+          const why::AttemptStory& before = part.attempts[static_cast<std::size_t>(one.number) - 1];
+          if (before.outcome != one.after) bad(id + ": sent again after another outcome");
+        }
+      }
+      pieces += in ? 1 : 0;
+      for (const auto& [holder, attempts] : sent) {
+        auto found = logged.find({holder, id});
+        std::size_t count = found == logged.end() ? 0 : found->second.size();
+        if (count != attempts.size()) {
+          bad(fmt::format("{}: {} attempts at {}, which saw {}", id, attempts.size(), holder, count));
+          continue;
+        }
+        explained += count;
+        for (std::size_t i = 0; i < count; ++i) {
+          const why::AttemptStory& one = *attempts[i];
+          Act act = found->second[i]->act;
+          bool fits = true;
+          if (one.cause == Cause::kServed) fits = act == Act::kServe && one.outcome == OutcomeCode::kOk;
+          if (one.cause == Cause::kBroke) fits = act == Act::kBreak && one.outcome == OutcomeCode::kError;
+          if (one.cause == Cause::kSkipped) fits = act == Act::kSkip && one.outcome == OutcomeCode::kFull;
+          // On a shared connection another part's end is the end of all.
+          if (one.cause == Cause::kConnectionLost) fits = one.outcome == OutcomeCode::kReset;
+          if (one.cause == Cause::kSpoilt) fits = one.outcome == OutcomeCode::kError;
+          if (!fits) bad(fmt::format("{}: at {} it ended otherwise", id, holder));
+          // Silence ends by our own doing alone.
+          if (act == Act::kSilent && one.cause != Cause::kWithdrawn && one.cause != Cause::kExpired &&
+              one.cause != Cause::kConnectionLost && one.cause != Cause::kSpoilt)
+            bad(fmt::format("{}: {} said nothing", id, holder));
+          net::Micros sent_us = story.arrived_us + one.at_us;
+          if (found->second[i]->at_us + 2'000 < sent_us) bad(id + ": it came before it was sent");
+        }
+      }
+    }
+    if (given.status == 200 && pieces != story.pieces) bad("another number of pieces");
+    auto seen = parts_of.find(story.call_id);
+    std::size_t all = seen == parts_of.end() ? 0 : seen->second.size();
+    if (all != explained) bad(fmt::format("the holders saw {} attempts, {} are explained", all, explained));
+  }
+  return wrong;
+}
+
+class Gatherer {
+ public:
+  Gatherer(const std::string& program, const std::string& folder, const std::string& config)
+      : log_(folder + "/log") {
+    std::ofstream(folder + "/config.json") << config;
+    child_ = ::fork();
+    if (child_ == 0) {
+      int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+      ::dup2(log, STDERR_FILENO);
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing outlives a test that is ended
+      ::setenv("BALANCER_CONFIG", (folder + "/config.json").c_str(), 1);
+      ::execl(program.c_str(), "liftrudder", nullptr);
+      ::_exit(127);
+    }
+    std::string mark = "n1 listens on ";
+    for (net::Micros waited = 0; addr_.empty() && waited < kPatience; waited += 20'000) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      std::string text = Log();
+      auto at = text.find(mark);
+      if (at != std::string::npos && text.find('\n', at) != std::string::npos)
+        addr_ = text.substr(at + mark.size(), text.find('\n', at) - at - mark.size());
+    }
+  }
+  ~Gatherer() { Kill(); }
+  void Kill() {
+    if (child_ <= 0) return;
+    ::kill(child_, SIGKILL);
+    ::waitpid(child_, nullptr, 0);
+    child_ = -1;
+  }
+  const std::string& addr() const { return addr_; }
+  std::string Log() const {
+    std::ostringstream out;
+    out << std::ifstream(log_).rdbuf();
+    return out.str();
+  }
+
+ private:
+  std::string log_, addr_;
+  pid_t child_ = -1;
+};
+
+std::string Config(const standin::Discovery& discovery, const std::string& folder) {
+  auto grade = [](const char* name, const char* effect, double late) {
+    return fmt::format(
+        R"({{"name":"{}","aimUs":1000000,"giveUpUs":4000000,"lateShare":{},"value":1.0,"effect":"{}","repeatWindowUs":5000000,"dedupScope":"all"}})",
+        name, late, effect);
+  };
+  return fmt::format(
+      R"({{"name":"n1","seed":"8c1f30d27a5be964","listen":"127.0.0.1:0","discovery":"{}","limits":{{"sockets":1024,"memory_mb":192}},
+"why":{{"bytes":33554432,"file":"{}/why.record"}},"known":{},
+"settings":{{"az":0,"groupSize":1,"ordinal":0,"resolutionUs":5000,"dcs":["dc1"],"kinds":["k"],"registryMode":"automatic",
+"loadInfo":{{"how":"inline","names":["queue","inflight"]}},"grades":[{},{},{}],
+"familyInfo":{{"cells":6,"reach":3,"slices":6,"perCall":1,"classFetch":[0,0,0],"classFloor":[0.4,1.0,1.0],"wholeAt":[1.0,1.0,1.0],"incompleteWorth":[0.95,0.9,0.9]}},
+"bounds":{{"attemptsCap":3,"cancelling":true,"connectTimeoutUs":250000,"idleCloseUs":30000000,"maxOpen":400,"maxRetryAfterUs":500000,"probes":true,"retryAfter":true,"secondCopies":true,"streamsPerConn":100}},
+"rules":{{"graceToAnswerUs":20000,"stopSendingWithinUs":1000000}}}}}})",
+      discovery.addr(), folder, discovery.List(), grade("search", "idempotent", 0.3),
+      grade("report", "idempotent", 0.1), grade("booking", "deduplicated", 0));
+}
+
+std::string Request(const std::string& id, int kind, std::uint64_t dice) {
+  static const char* const kNames[] = {"search", "report", "booking"};
+  int parts = kind == 0 ? 6 : kind == 1 ? 3 : 1 + static_cast<int>(dice % 2);
+  std::string tablets;
+  double sum = 0;
+  for (int i = 0; i < parts; ++i) sum += 1.0 / (i + 1);
+  for (int i = 0; i < parts; ++i) {
+    tablets += fmt::format("{}{{\"tablet\":{},\"fraction\":{:.6f}}}", i > 0 ? "," : "",
+                           (static_cast<int>(dice / 8 % kHolders) + i) % kHolders, 1.0 / (i + 1) / sum);
+  }
+  std::string body = fmt::format("{{\"tablets\":[{}],\"statement\":\"s-{}\"}}", tablets, id);
+  return fmt::format(
+      "POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: {}\r\nX-Call-Class: {}\r\nX-Budget: "
+      "3.5\r\n{}Content-Length: {}\r\n\r\n{}",
+      id, kNames[kind], kind == 2 ? "Idempotency-Key: k-" + id + "\r\n" : "", body.size(), body);
+}
+
+// One client: queries one after the other, now and then one that it does not wait for.
+void Ask(const std::string& addr, int who, int count, std::map<std::string, Given>& out) {
+  static const char* const kNames[] = {"search", "report", "booking"};
+  net::Fd fd;
+  std::uint64_t dice = static_cast<std::uint64_t>(who) * 0x9e3779b97f4a7c15ULL + 1;
+  for (int i = 0; i < count; ++i) {
+    dice ^= dice << 13, dice ^= dice >> 7, dice ^= dice << 17;
+    int kind = static_cast<int>((dice >> 20) % 3);
+    std::string id = fmt::format("c{}-{}", who, i), in;
+    if (!fd.Valid()) fd = net::Connect(addr, kPatience);
+    net::WriteAll(fd, Request(id, kind, dice >> 32), kPatience);
+    Given given;
+    given.class_name = kNames[kind];
+    if (dice % 40 == 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(3));
+      fd = net::Fd();
+      out[id] = given;
+      continue;
+    }
+    net::HttpParser parser(net::HttpParser::Kind::kResponse);
+    auto state = net::HttpParser::State::kHead;
+    while (state != net::HttpParser::State::kDone && net::ReadSome(fd, in, kPatience) == net::Io::kOk)
+      state = parser.Feed(in);
+    if (state == net::HttpParser::State::kDone) {
+      given.status = parser.message().status;
+      given.full = parser.message().body.find("\"full\":true") != std::string::npos;
+    }
+    out[id] = given;
+    if (state != net::HttpParser::State::kDone || parser.message().close) fd = net::Fd();
+  }
+}
+
+std::string Get(const std::string& addr, const std::string& target) {
+  net::Fd fd = net::Connect(addr, kPatience);
+  net::WriteAll(fd, "GET " + target + " HTTP/1.1\r\nHost: g\r\n\r\n", kPatience);
+  net::HttpParser parser(net::HttpParser::Kind::kResponse, 1 << 20);
+  std::string in;
+  auto state = net::HttpParser::State::kHead;
+  while (state != net::HttpParser::State::kDone && net::ReadSome(fd, in, kPatience) == net::Io::kOk)
+    state = parser.Feed(in);
+  return parser.message().body;
+}
+
+}  // namespace
+
+TEST_CASE("explanations equal what holders and clients saw, and one wrong field shows") {
+  char name[] = "/tmp/why-fleet-XXXXXX";
+  std::string folder = ::mkdtemp(name);
+  std::atomic<bool> silence{false};
+  std::vector<std::unique_ptr<standin::FrameHolder>> holders;
+  standin::Discovery discovery;
+  for (int cell = 0; cell < kHolders; ++cell) {
+    holders.push_back(
+        std::make_unique<standin::FrameHolder>([cell, &silence](const std::string& part, std::size_t nth) {
+          std::uint64_t dice = why::HashId(part + std::to_string(cell) + (nth % 2 == 0 ? "a" : "b"));
+          standin::Behaviour how;
+          how.delay_us = 1'000 + static_cast<net::Micros>(dice >> 40) % 14'000;
+          std::uint64_t hundred = dice % 200;
+          if (cell == 5 && silence)
+            how.act = Act::kSilent;
+          else if (hundred < 8)
+            how.act = Act::kSkip;
+          else if (hundred < 14)
+            how.act = Act::kBreak;
+          else if (hundred < 17)
+            how.act = Act::kReset;
+          else if (hundred < 19)
+            how.act = Act::kSpoil;
+          else if (hundred < 20)
+            how.act = Act::kSilent;
+          return how;
+        }));
+    discovery.Tell("s-" + std::to_string(cell), holders.back()->addr(), cell, "ready");
+  }
+  Gatherer gatherer(LIFTRUDDER_PROGRAM, folder, Config(discovery, folder));
+  INFO(gatherer.Log());
+  REQUIRE(!gatherer.addr().empty());
+
+  std::vector<std::map<std::string, Given>> seen(kClients + kBurst);
+  std::vector<std::thread> clients;
+  for (int who = 0; who < kClients; ++who)
+    clients.emplace_back([&, who] { Ask(gatherer.addr(), who, kEach, seen[static_cast<std::size_t>(who)]); });
+  // Events follow the clients' progress as the holders see it, not a clock.
+  auto served = [&] {
+    std::size_t all = 0;
+    for (const auto& holder : holders) all += holder->Log().size();
+    return all;
+  };
+  auto until = [&](std::size_t parts) {
+    for (int i = 0; i < 2000 && served() < parts; ++i)
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  };
+  until(800);
+  silence = true;
+  until(1600);
+  discovery.Tell("s-2", holders[2]->addr(), 2, "draining");
+  until(3000);
+  silence = false;
+  for (int who = kClients; who < kClients + kBurst; ++who)
+    clients.emplace_back([&, who] { Ask(gatherer.addr(), who, 10, seen[static_cast<std::size_t>(who)]); });
+  for (std::thread& client : clients) client.join();
+
+  // Attempts that are still out end with their time at the latest; until then the record is read as it grows.
+  why::Filter all;
+  all.limit = 100'000;
+  auto settled = [&] {
+    Get(gatherer.addr(), "/-/why?summary=1");  // has what is known written down
+    why::Arena record = why::Arena::Open(folder + "/why.record");
+    for (const why::Story& story : why::Reader(record).Find(all).stories) {
+      if (story.verdict == Verdict::kOpen) return false;
+      for (const why::PartStory& part : story.parts) {
+        for (const why::AttemptStory& one : part.attempts) {
+          if (!one.ended_us) return false;
+        }
+      }
+    }
+    return true;
+  };
+  for (int i = 0; i < 100 && !settled(); ++i) std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  gatherer.Kill();
+
+  Outside outside;
+  std::size_t left = 0, turned_away = 0;
+  for (const auto& one : seen) outside.clients.insert(one.begin(), one.end());
+  for (const auto& [id, given] : outside.clients) {
+    left += given.status == 0 ? 1 : 0;
+    turned_away += given.status == 503 ? 1 : 0;
+  }
+  for (int cell = 0; cell < kHolders; ++cell)
+    outside.holders["s-" + std::to_string(cell)] = holders[static_cast<std::size_t>(cell)]->Log();
+
+  why::Arena record = why::Arena::Open(folder + "/why.record");
+  why::Found found = why::Reader(record).Find(all);
+  std::vector<why::Story> stories;
+  std::map<Verdict, int> verdicts;
+  std::map<tinsail::SendKind, int> kinds;
+  for (why::Story& story : found.stories) {
+    ++verdicts[story.verdict];
+    if (story.verdict == Verdict::kTurnedAway) continue;
+    CHECK_FALSE(story.torn);
+    CHECK_FALSE(story.events_cut);
+    for (const auto& part : story.parts) {
+      for (const auto& one : part.attempts) ++kinds[one.kind];
+    }
+    stories.push_back(std::move(story));
+  }
+  CHECK(found.torn == 0);
+  CHECK(stories.size() + turned_away >= outside.clients.size() - left);
+  CHECK(stories.size() >= 2000);
+  // What the test is about has happened.
+  CHECK(left > 10);
+  CHECK(kinds[tinsail::SendKind::kResend] > 50);
+  CHECK(kinds[tinsail::SendKind::kStragglerCopy] + kinds[tinsail::SendKind::kSuspectCopy] > 5);
+  CHECK(verdicts[Verdict::kWhole] > 1000);
+
+  std::vector<std::string> wrong = Compare(stories, outside);
+  INFO((wrong.empty() ? std::string("all fit")
+                      : fmt::format("{} do not fit, such as {}", wrong.size(), wrong[0])));
+  CHECK(wrong.empty());
+
+  // One field changed anywhere is found out.
+  std::size_t place = 0;
+  while (stories[place].verdict != Verdict::kWhole || stories[place].parts[0].attempts.size() != 1) ++place;
+  auto sabotaged = [&](const std::function<void(why::Story&)>& harm) {
+    std::vector<why::Story> harmed = stories;
+    harm(harmed[place]);
+    return !Compare(harmed, outside).empty();
+  };
+  CHECK(sabotaged([](why::Story& s) { s.parts[0].attempts[0].holder.id = "s-9"; }));
+  CHECK(sabotaged([](why::Story& s) { s.parts[0].attempts[0].cause = Cause::kBroke; }));
+  CHECK(sabotaged([](why::Story& s) { s.parts[0].attempts[0].outcome = OutcomeCode::kFull; }));
+  CHECK(sabotaged([](why::Story& s) { s.parts[0].attempts[0].progress = Progress::kNotConnected; }));
+  CHECK(sabotaged([](why::Story& s) { s.parts[0].attempts.push_back(s.parts[0].attempts[0]); }));
+  CHECK(sabotaged([](why::Story& s) { s.parts[0].attempts.clear(); }));
+  CHECK(sabotaged([](why::Story& s) { s.parts[0].shard += 1; }));
+  CHECK(sabotaged([](why::Story& s) { s.parts[0].attempts[0].at_us += 60'000'000; }));
+  CHECK(sabotaged([](why::Story& s) { s.verdict = Verdict::kPartial; }));
+  CHECK(sabotaged([](why::Story& s) { s.given[0].status = 503; }));
+  CHECK(sabotaged([](why::Story& s) { s.class_name = "other"; }));
+  CHECK(sabotaged([](why::Story& s) { s.pieces += 1; }));
+  std::filesystem::remove_all(folder);
+}
--- /dev/null
+++ b/tests/why_test.cpp
@@ -0,0 +1,487 @@
+// The record of decisions: what it keeps, what it lets go of, and what it says of damaged files. No program,
+// no socket.
+#define CATCH_CONFIG_MAIN
+#include <rapidcheck.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <new>
+#include <set>
+#include <thread>
+
+#include "why/desk.h"
+#include "why/explain.h"
+#include "why/recorder.h"
+
+using namespace liftrudder;
+using tinsail::EndCause;
+using tinsail::OutcomeCode;
+using why::Door;
+using why::Recorder;
+using why::Verdict;
+
+namespace {
+
+std::atomic<std::size_t> allocations{0};
+
+constexpr std::int64_t kSecond = 1'000'000;
+constexpr std::int64_t kStart = 1'700'000'000 * kSecond;
+const why::About kAbout{"n1", kStart, {"teacher-search", "term-report", "book-lesson"}};
+
+struct Fixture {
+  explicit Fixture(std::size_t bytes = 512 * 1024, const std::string& path = "")
+      : record(bytes, path, kAbout, 7) {
+    record.Now(now);
+    for (std::uint32_t holder = 1; holder <= 3; ++holder)
+      record.Holder(holder, "s-" + std::to_string(holder), "127.0.0.1:" + std::to_string(9000 + holder));
+  }
+
+  std::uint32_t Open(const std::string& id, int class_index, int parts = 2) {
+    std::uint32_t query = next;
+    next += static_cast<std::uint32_t>(parts) + 1;
+    std::vector<why::OpenedPart> told(static_cast<std::size_t>(parts), {3, 1.0 / parts, 0});
+    record.Open({query, now, now + 4 * kSecond, class_index, why::FrontKind::kPlatform, false, id, ""}, told);
+    return query;
+  }
+  void Send(std::uint32_t query, int part, int attempt, std::uint32_t holder,
+            tinsail::SendKind kind = tinsail::SendKind::kFirst, OutcomeCode after = OutcomeCode::kOk) {
+    tinsail::Send send{0, {holder, 1}, kSecond, {kind, after, {}}};
+    send.why.choice.count = 2;
+    send.why.choice.replicas[0] = {{holder, 1}, 1, tinsail::Standing::kFit, true};
+    send.why.choice.replicas[1] = {{holder % 3 + 1, 1}, 0, tinsail::Standing::kSick, false};
+    record.Sent(query, part, attempt, send);
+  }
+  void End(std::uint32_t query, Verdict verdict, EndCause cause = EndCause::kWhole) {
+    record.Final(query, verdict, {cause, 1, 1, {}}, Door::kNone, 0, 2);
+  }
+  void Whole(const std::string& id, int class_index, Verdict verdict = Verdict::kWhole,
+             EndCause cause = EndCause::kWhole) {
+    std::uint32_t query = Open(id, class_index);
+    for (int part = 0; part < 2; ++part) {
+      Send(query, part, 0, 1);
+      record.Ended(query, part, 0, 1, OutcomeCode::kOk, why::Progress::kAnswering, why::Cause::kServed);
+    }
+    End(query, verdict, cause);
+  }
+  why::Found Find(const std::string& id) {
+    record.Flush();
+    why::Filter filter;
+    filter.id = id;
+    return why::Reader(record.arena()).Find(filter);
+  }
+
+  std::int64_t now = kStart;
+  std::uint32_t next = 1;
+  Recorder record;
+};
+
+std::string Folder() {
+  char name[] = "/tmp/why-XXXXXX";
+  return ::mkdtemp(name);
+}
+
+std::string ErrorOf(const std::string& path) {
+  try {
+    why::Arena::Open(path);
+  } catch (const std::runtime_error& error) {
+    return error.what();
+  }
+  return "";
+}
+
+}  // namespace
+
+// Every allocation of the test's program is counted, those of the record under test among them.
+// Not inlined, or the compiler takes them apart and warns of what it sees.
+[[gnu::noinline]] void* operator new(std::size_t size) {
+  allocations.fetch_add(1, std::memory_order_relaxed);
+  if (void* memory = std::malloc(size)) return memory;
+  throw std::bad_alloc();
+}
+[[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+
+TEST_CASE("a query retried across three holders, and a loser that answers after the end") {
+  Fixture f;
+  std::uint32_t query = f.Open("q-1", 1);
+  f.Send(query, 0, 0, 1);
+  f.Send(query, 1, 0, 2);
+  f.now += 10'000, f.record.Now(f.now);
+  f.record.Ended(query, 0, 0, 1, OutcomeCode::kFull, why::Progress::kAnswering, why::Cause::kSkipped);
+  f.Send(query, 0, 1, 2, tinsail::SendKind::kResend, OutcomeCode::kFull);
+  f.now += 10'000, f.record.Now(f.now);
+  f.record.Ended(query, 0, 1, 2, OutcomeCode::kReset, why::Progress::kWhollyWritten,
+                 why::Cause::kConnectionLost);
+  f.Send(query, 0, 2, 3, tinsail::SendKind::kResend, OutcomeCode::kReset);
+  f.Send(query, 1, 1, 3, tinsail::SendKind::kStragglerCopy);
+  f.record.Ended(query, 0, 2, 3, OutcomeCode::kOk, why::Progress::kAnswering, why::Cause::kServed);
+  f.record.Ended(query, 1, 1, 3, OutcomeCode::kOk, why::Progress::kAnswering, why::Cause::kServed);
+  f.record.Cancelled(query, 1, {0, 0, tinsail::CancelWhy::kAnswered});
+  f.End(query, Verdict::kWhole);
+  f.now += 10'000, f.record.Now(f.now);
+  f.record.Ended(query, 1, 0, 2, OutcomeCode::kCancelled, why::Progress::kWhollyWritten,
+                 why::Cause::kWithdrawn);
+  auto found = f.Find("q-1");
+  REQUIRE(found.stories.size() == 1);
+  const why::Story& story = found.stories[0];
+  CHECK(story.class_name == "term-report");
+  REQUIRE(story.parts.size() == 2);
+  REQUIRE(story.parts[0].attempts.size() == 3);
+  REQUIRE(story.parts[1].attempts.size() == 2);
+  CHECK(story.parts[0].attempts[1].holder.id == "s-2");
+  CHECK(story.parts[0].attempts[1].outcome == OutcomeCode::kReset);
+  CHECK(story.parts[0].attempts[2].after == OutcomeCode::kReset);
+  CHECK(story.parts[1].attempts[0].ended_us == 30'000);
+  CHECK(story.parts[1].attempts[0].cause == why::Cause::kWithdrawn);
+  std::string text = why::TextOf(story);
+  CHECK(text.find("was sent again, since the attempt before lost its connection, to s-3") !=
+        std::string::npos);
+  CHECK(text.find("the connection was lost after the request was written, so it may have run") !=
+        std::string::npos);
+  CHECK(text.find("(after the query's end)") != std::string::npos);
+}
+
+TEST_CASE("what a hostile client chose as an id is bounded and escaped, and still found") {
+  Fixture f;
+  std::string longest(5000, 'x'), odd("q\xff\x00\n\"\\", 6);
+  f.Whole(longest, 0);
+  f.Whole(odd, 0);
+  f.Whole(odd, 0);
+  auto found = f.Find(longest);
+  REQUIRE(found.stories.size() == 1);
+  CHECK(found.stories[0].call_id.size() == why::kNoteId);
+  CHECK(found.stories[0].id_cut);
+  found = f.Find(odd);
+  CHECK(found.stories.size() == 2);  // the same id twice: both are told
+  why::Filter filter;
+  filter.id = odd;
+  std::string json = why::JsonOf(found, filter, kAbout);
+  CHECK(json.find(R"(q\\xff\\x00\\x0a\"\\x5c)") != std::string::npos);
+  CHECK(std::ranges::all_of(json, [](char c) { return c >= ' ' && c < 0x7f; }));
+}
+
+TEST_CASE("one query of very many parts holds its share and no more, and says that events are missing") {
+  Fixture f;
+  std::uint32_t query = f.Open("wide", 0, 1000);
+  for (int part = 0; part < 1000; ++part) f.Send(query, part, 0, 1);
+  f.End(query, Verdict::kPartial, EndCause::kAim);
+  auto found = f.Find("wide");
+  REQUIRE(found.stories.size() == 1);
+  CHECK(found.stories[0].events_cut);
+  CHECK(found.stories[0].verdict == Verdict::kPartial);
+  CHECK(why::Reader(f.record.arena()).Summarize().blocks_used <= f.record.arena().layout().blocks / 16);
+}
+
+TEST_CASE("no allocation a query once running, and the bytes claimed stay the same") {
+  Fixture f;
+  std::vector<std::string> ids;
+  for (int i = 0; i < 20'000; ++i) ids.push_back("query-" + std::to_string(i));
+  std::vector<why::OpenedPart> parts(6, {1, 0.1, 100});
+  std::size_t claimed = f.record.Claimed(), before = allocations;
+  for (int i = 0; i < 20'000; ++i) {
+    f.now += 7'000;
+    f.record.Now(f.now);
+    std::uint32_t query = f.next;
+    f.next += 7;
+    f.record.Open({query, f.now, f.now + kSecond, i % 3, why::FrontKind::kPlatform, false,
+                   ids[static_cast<std::size_t>(i)], ""},
+                  parts);
+    for (int part = 0; part < 6; ++part) f.Send(query, part, 0, 1);
+    for (int part = 0; part < 6; ++part)
+      f.record.Ended(query, part, 0, 1, OutcomeCode::kOk, why::Progress::kAnswering, why::Cause::kServed);
+    f.End(query, i % 50 == 0 ? Verdict::kRefused : Verdict::kWhole);
+    f.record.Flush();
+  }
+  CHECK(allocations == before);
+  CHECK(f.record.Claimed() == claimed);
+  CHECK(claimed <= 512 * 1024);
+  CHECK(claimed > 400 * 1024);  // and it uses what it is given
+}
+
+TEST_CASE("a burst does not push out what people ask about") {
+  Fixture f;
+  // A minute at 20 queries a second with a refusal each two seconds, then 8 s of 36 a second, half of them
+  // refused.
+  std::set<std::string> reports, ordinary;
+  for (int i = 0; i < 1200; ++i) {
+    f.now += 50'000;
+    f.record.Now(f.now);
+    std::string id = "before-" + std::to_string(i);
+    if (i % 80 == 0) {
+      f.Whole(id, 1, i % 160 == 0 ? Verdict::kRefused : Verdict::kPartial, EndCause::kPressure);
+      reports.insert(id);
+    } else {
+      f.Whole(id, i % 3);
+      ordinary.insert(id);
+    }
+    f.record.Flush();
+  }
+  std::size_t ordinary_before = 0;
+  for (const std::string& id : ordinary) ordinary_before += f.Find(id).stories.size();
+  for (int burst = 0; burst < 20; ++burst) {  // 20 such bursts: no room is left by the first
+    for (int i = 0; i < 8 * 36; ++i) {
+      f.now += 27'000;
+      f.record.Now(f.now);
+      bool refused = i % 2 == 0;
+      f.Whole("burst-" + std::to_string(burst) + "-" + std::to_string(i), i % 3,
+              refused ? Verdict::kRefused : Verdict::kWhole,
+              refused ? EndCause::kPressure : EndCause::kWhole);
+      f.record.Flush();
+    }
+  }
+  std::size_t kept = 0;
+  for (const std::string& id : reports) kept += f.Find(id).stories.size();
+  INFO("refused or partial reports kept: " << kept << " of " << reports.size());
+  CHECK(kept >= reports.size() * 2 / 3);
+  std::size_t sample = 0;
+  for (const std::string& id : ordinary) sample += f.Find(id).stories.size();
+  INFO("ordinary ones kept: " << sample << " of " << ordinary_before << " before");
+  CHECK(sample >= 30);
+  // Nothing that was seen lately is met with silence.
+  for (const std::string& id : ordinary) {
+    auto found = f.Find(id);
+    REQUIRE((!found.stories.empty() || !found.sightings.empty() || found.sightings_from > 0));
+  }
+}
+
+TEST_CASE("a query that was let go of is said to have been seen") {
+  Fixture f;
+  f.Whole("gone", 0);
+  for (int i = 0; i < 20'000; ++i) {  // all in one second, so that it is as good a victim as any
+    f.Whole("other-" + std::to_string(i), 0);
+    f.record.Flush();
+    if (i % 100 == 0 && f.Find("gone").stories.empty()) break;
+  }
+  auto found = f.Find("gone");
+  REQUIRE(found.stories.empty());
+  REQUIRE(found.sightings.size() == 1);
+  why::Filter filter;
+  filter.id = "gone";
+  CHECK(why::TextOf(found, filter, kAbout).find("gone was seen then, not kept: whole at") == 0);
+  auto dropped = why::Reader(f.record.arena()).Summarize().last_minute;
+  CHECK(dropped[why::kTallyDropped + static_cast<std::size_t>(why::Group::kOrdinary)] > 0);
+}
+
+TEST_CASE("more open queries than the record holds: the others are counted, those in it stay whole") {
+  Fixture f(512 * 1024);
+  std::vector<std::uint32_t> open;
+  for (int i = 0; i < 6000; ++i) open.push_back(f.Open("open-" + std::to_string(i), 0));
+  f.record.Flush();
+  auto summary = why::Reader(f.record.arena()).Summarize();
+  CHECK(summary.totals[why::kTallyLost] > 0);
+  CHECK(summary.blocks_used == summary.blocks);
+  for (std::uint32_t query : open) f.End(query, Verdict::kWhole);
+  auto found = f.Find("open-0");
+  REQUIRE(found.stories.size() == 1);
+  CHECK(found.stories[0].verdict == Verdict::kWhole);
+}
+
+TEST_CASE("a flood at the door is counted, and only so much of it is kept") {
+  Fixture f;
+  f.Whole("mine", 1, Verdict::kRefused, EndCause::kPressure);
+  why::Note note;
+  note.door = Door::kMalformed;
+  note.status = 400;
+  note.SetId("bad");
+  std::size_t told = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    note.at_us = f.now;
+    f.record.Tell(note);
+    ++told;
+    if (i % 100 == 99) f.record.Flush();
+  }
+  f.record.Flush();
+  auto summary = why::Reader(f.record.arena()).Summarize();
+  std::size_t counted = summary.totals[why::kTallyDoor + static_cast<std::size_t>(Door::kMalformed)] +
+                        summary.totals[why::kTallyLost + static_cast<std::size_t>(why::Lost::kMailFull)];
+  CHECK(counted == told);
+  CHECK(f.Find("bad").stories.size() <= 40);
+  CHECK(f.Find("mine").stories.size() == 1);
+  // A box that is full says so and is counted.
+  for (int i = 0; i < 1000; ++i) f.record.Tell(note);
+  f.record.Flush();
+  summary = why::Reader(f.record.arena()).Summarize();
+  CHECK(summary.totals[why::kTallyLost + static_cast<std::size_t>(why::Lost::kMailFull)] == 1000 - 256);
+}
+
+TEST_CASE("what a killed program left can be read; damage is skipped and counted, or named") {
+  std::string folder = Folder(), path = folder + "/why.record";
+  {
+    Fixture f(512 * 1024, path);
+    for (int i = 0; i < 100; ++i) f.Whole("q-" + std::to_string(i), 0);
+    f.record.Flush();
+    f.Open("midway", 0);  // not flushed: as if killed in the middle of a round
+  }
+  why::Filter all;
+  all.limit = 500;
+  {
+    why::Arena left = why::Arena::Open(path);
+    auto found = why::Reader(left).Find(all);
+    CHECK(found.stories.size() == 100);
+    CHECK(found.busy == 1);
+    CHECK(why::Reader(left).about().name == "n1");
+  }
+  auto layout = why::Layout::Of(std::filesystem::file_size(path));
+  auto patch = [&](std::size_t at, char byte) {
+    std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(static_cast<std::streamoff>(at));
+    file.put(byte);
+  };
+  patch(layout.block_at * 8 + 100, 'x');  // in the first block's events
+  {
+    why::Arena left = why::Arena::Open(path);
+    auto found = why::Reader(left).Find(all);
+    CHECK(found.stories.size() == 99);
+    CHECK(found.torn == 1);
+  }
+  std::filesystem::copy_file(path, path + ".short");
+  std::filesystem::resize_file(path + ".short", 300'000);
+  CHECK(ErrorOf(path + ".short").find("cut short: 300000 of") != std::string::npos);
+  std::filesystem::resize_file(path + ".short", 100);
+  CHECK(ErrorOf(path + ".short").find("cut short: 100 bytes") != std::string::npos);
+  std::ofstream(path + ".long", std::ios::binary) << std::ifstream(path, std::ios::binary).rdbuf() << "more";
+  CHECK(ErrorOf(path + ".long").find("of another size") != std::string::npos);
+  CHECK(ErrorOf(folder).find("not a file") != std::string::npos);
+  CHECK(ErrorOf(path + ".none").find("cannot be opened") != std::string::npos);
+  patch(8, 9);
+  CHECK(ErrorOf(path).find("of version 9; this program reads version 1") != std::string::npos);
+  patch(0, 'x');
+  CHECK(ErrorOf(path).find("not a record of decisions") != std::string::npos);
+  {
+    Fixture again(512 * 1024, path);  // a restart keeps what the kill left
+    CHECK(std::filesystem::exists(path + ".old"));
+  }
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("readers see whole queries or none while the writer goes on") {
+  Fixture f(512 * 1024);
+  std::atomic<bool> done{false};
+  std::atomic<std::size_t> read{0}, wrong{0};
+  std::vector<std::thread> readers;
+  for (int i = 0; i < 2; ++i) {
+    readers.emplace_back([&] {
+      while (!done) {
+        why::Filter filter;
+        filter.limit = 200;
+        for (const why::Story& story : why::Reader(f.record.arena()).Find(filter).stories) {
+          ++read;
+          bool ended = story.verdict == Verdict::kWhole;
+          bool all = story.parts.size() == 2 && story.parts[0].attempts.size() == 1 &&
+                     story.parts[1].attempts.size() == 1;
+          if (!story.torn && ended && !all) ++wrong;
+        }
+      }
+    });
+  }
+  for (int i = 0; i < 30'000 || read < 1000; ++i) {
+    f.now += 1000;
+    f.record.Now(f.now);
+    f.Whole("q-" + std::to_string(i), i % 3);
+    f.record.Flush();
+  }
+  done = true;
+  for (std::thread& reader : readers) reader.join();
+  CHECK(read >= 1000);
+  CHECK(wrong == 0);
+}
+
+TEST_CASE("a clock that steps back loses nothing") {
+  Fixture f;
+  f.Whole("first", 0);
+  f.now -= 3600 * kSecond;
+  f.record.Now(f.now);
+  std::uint32_t query = f.Open("second", 0);
+  f.now -= kSecond;
+  f.record.Now(f.now);
+  f.End(query, Verdict::kWhole);
+  CHECK(f.Find("first").stories.size() == 1);
+  REQUIRE(f.Find("second").stories.size() == 1);
+  CHECK(f.Find("second").stories[0].ended_us == 0);
+}
+
+TEST_CASE("property: retention keeps its sums, and only what is over its share is let go of") {
+  bool ok = rc::check("random keeps, grows and victims", [] {
+    why::Retention retention(400, *rc::gen::arbitrary<std::uint64_t>());
+    std::map<std::uint32_t, std::pair<std::size_t, std::uint32_t>> kept;  // entry: stratum, blocks
+    std::set<std::uint32_t> free;
+    for (std::uint32_t i = 0; i < 400; ++i) free.insert(i);
+    std::int64_t now = 0;
+    int steps = *rc::gen::inRange(1, 3000);
+    std::uint64_t dice = *rc::gen::arbitrary<std::uint64_t>() | 1;
+    auto next = [&dice](std::uint64_t most) {
+      dice ^= dice << 13, dice ^= dice >> 7, dice ^= dice << 17;
+      return dice % most;
+    };
+    for (int step = 0; step < steps; ++step) {
+      now += static_cast<std::int64_t>(next(3'000'000));
+      if (next(10) == 0 && !kept.empty()) {
+        auto one = std::next(kept.begin(), static_cast<std::ptrdiff_t>(next(kept.size())));
+        retention.Grow(one->first);
+        ++one->second.second;
+        continue;
+      }
+      if (free.empty()) {
+        auto victim = retention.Victim(now);
+        RC_ASSERT(victim.has_value());
+        RC_ASSERT(kept.contains(*victim));
+        // A stratum that holds one query alone is let go of only where no other holds more for its share.
+        retention.Drop(*victim);
+        free.insert(*victim);
+        kept.erase(*victim);
+      }
+      std::uint32_t entry = *free.begin();
+      free.erase(free.begin());
+      auto stratum = static_cast<std::size_t>(next(4) == 0 ? next(why::kStrata) : 6 * why::kClassStrata);
+      auto blocks = static_cast<std::uint32_t>(1 + next(4));
+      retention.Keep(entry, stratum, now, blocks);
+      kept[entry] = {stratum, blocks};
+    }
+    std::vector<std::uint64_t> sums(why::kStrata);
+    for (const auto& [entry, what] : kept) sums[what.first] += what.second;
+    for (std::size_t s = 0; s < why::kStrata; ++s) RC_ASSERT(retention.Blocks(s) == sums[s]);
+    while (auto victim = retention.Victim(now)) {
+      RC_ASSERT(kept.erase(*victim) == 1);
+      retention.Drop(*victim);
+    }
+    RC_ASSERT(kept.empty());
+  });
+  CHECK(ok);
+}
+
+TEST_CASE("questions that cannot be read are answered with what is wrong") {
+  auto wrong = [](const why::Parameters& parameters) {
+    auto question = why::ReadQuestion(parameters, kStart);
+    return std::holds_alternative<std::string>(question) ? std::get<std::string>(question) : "";
+  };
+  CHECK(wrong({{"verdict", "great"}}).find("verdict: 'great' is none of") == 0);
+  CHECK(wrong({{"reason", "x\n"}}).find("reason: 'x\\x0a'") == 0);
+  CHECK(wrong({{"limit", "0"}}).find("limit:") == 0);
+  CHECK(wrong({{"limit", "1e9"}}).find("limit:") == 0);
+  CHECK(wrong({{"since", "2026-13-01T00:00:00Z"}}).find("since:") == 0);
+  CHECK(wrong({{"id", ""}}).find("id:") == 0);
+  auto question = std::get<why::Question>(
+      why::ReadQuestion({{"since", "2023-11-14T22:13:20.5Z"}, {"until", "-90"}}, kStart));
+  CHECK(question.filter.from_us == kStart + kSecond / 2);
+  CHECK(question.filter.to_us == kStart - 90 * kSecond);
+}
+
+TEST_CASE("the desk bounds how often it reads") {
+  Fixture f;
+  std::int64_t now = kStart;
+  int freshened = 0;
+  why::Desk desk(
+      f.record.arena(), [&] { ++freshened; }, [&] { return now; });
+  int answered = 0;
+  for (int i = 0; i < 50; ++i) answered += desk.Ask({{"summary", "1"}}).status == 200 ? 1 : 0;
+  CHECK(answered == 10);
+  CHECK(freshened == 10);
+  CHECK(desk.Ask({}).retry_after_us > 0);
+  now += kSecond;
+  CHECK(desk.Ask({}).status == 200);
+}
--- /dev/null
+++ b/tools/standin/discovery.cpp
@@ -0,0 +1,91 @@
+#include "standin/discovery.h"
+
+#include <fmt/format.h>
+
+#include "net/http.h"
+
+namespace liftrudder::standin {
+namespace {
+
+constexpr net::Micros kSlice = 50'000;
+constexpr net::Micros kBeat = 1'000'000;  // an empty line while nothing changes
+constexpr net::Micros kWait = 1'000'000;
+
+std::string Chunk(const std::string& text) { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); }
+
+}  // namespace
+
+Discovery::Discovery() : listener_(net::Listen("127.0.0.1:0")), addr_(net::LocalAddress(listener_)) {
+  loop_ = net::Thread([this] { Loop(); });
+}
+
+Discovery::~Discovery() {
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  loop_.Join();
+}
+
+void Discovery::Tell(const std::string& id, const std::string& holder_addr, int cell,
+                     const std::string& state) {
+  std::string entry = fmt::format(
+      R"({{"id":"{}","addr":"{}","zone":"dc1","kind":"k","cell":{},"state":"{}","weight":1.0,"started_ms":0}})",
+      id, holder_addr, cell, state);
+  std::lock_guard lock(mutex_);
+  holders_[id] = entry;
+  if (state == "gone") holders_.erase(id);
+  ++version_;
+  std::string chunk = Chunk(Lines(entry, false) + "\n");
+  for (const net::Fd& watcher : watchers_) net::WriteAll(watcher, chunk, kWait);
+}
+
+std::string Discovery::Lines(const std::string& servers, bool full) const {
+  return fmt::format(R"({{"version":{},"full":{},"servers":[{}]}})", version_, full, servers);
+}
+
+std::string Discovery::List() const {
+  std::lock_guard lock(mutex_);
+  std::string all;
+  for (const auto& [id, entry] : holders_) all += (all.empty() ? "" : ",") + entry;
+  return Lines(all, true);
+}
+
+void Discovery::Loop() {
+  net::SteadyClock clock;
+  net::Micros beat_us = clock.Now();
+  while (true) {
+    net::Fd fd = net::Accept(listener_, kSlice);
+    {
+      std::lock_guard lock(mutex_);
+      if (stopping_) return;
+      if (clock.Now() - beat_us > kBeat) {
+        beat_us = clock.Now();
+        for (const net::Fd& watcher : watchers_) net::WriteAll(watcher, Chunk("\n"), kWait);
+      }
+    }
+    if (!fd.Valid()) continue;
+    net::HttpParser parser(net::HttpParser::Kind::kRequest);
+    std::string in;
+    auto state = net::HttpParser::State::kHead;
+    while (state != net::HttpParser::State::kDone && state != net::HttpParser::State::kBad &&
+           net::ReadSome(fd, in, kWait) == net::Io::kOk)
+      state = parser.Feed(in);
+    if (state != net::HttpParser::State::kDone) continue;
+    std::string list = List();
+    if (!parser.message().Parameter("watch")) {
+      net::HttpResponse whole;
+      whole.body = list;
+      net::WriteAll(fd, net::Format(whole, true), kWait);
+      continue;
+    }
+    net::WriteAll(fd,
+                  "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                      Chunk(list + "\n"),
+                  kWait);
+    std::lock_guard lock(mutex_);
+    watchers_.push_back(std::move(fd));
+  }
+}
+
+}  // namespace liftrudder::standin
--- /dev/null
+++ b/tools/standin/discovery.h
@@ -0,0 +1,41 @@
+// A stand-in discovery on a loopback port: gives the holder list and streams its changes to whoever watches.
+#ifndef LIFTRUDDER_TOOLS_STANDIN_DISCOVERY_H_
+#define LIFTRUDDER_TOOLS_STANDIN_DISCOVERY_H_
+
+#include <list>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "net/socket.h"
+
+namespace liftrudder::standin {
+
+class Discovery {
+ public:
+  Discovery();
+  ~Discovery();
+
+  const std::string& addr() const { return addr_; }
+  // state: ready, draining or gone. Watchers are told at once.
+  void Tell(const std::string& id, const std::string& holder_addr, int cell, const std::string& state);
+  // The whole list, in the form that a configuration's `known` has too.
+  std::string List() const;
+
+ private:
+  void Loop();
+  std::string Lines(const std::string& servers, bool full) const;
+
+  net::Fd listener_;
+  std::string addr_;
+  mutable std::mutex mutex_;
+  bool stopping_ = false;
+  int version_ = 1;
+  std::map<std::string, std::string> holders_;  // id to its JSON
+  std::list<net::Fd> watchers_;
+  net::Thread loop_;
+};
+
+}  // namespace liftrudder::standin
+
+#endif  // LIFTRUDDER_TOOLS_STANDIN_DISCOVERY_H_
--- /dev/null
+++ b/tools/standin/holder.h
@@ -0,0 +1,77 @@
+// A stand-in record holder that speaks the platform's frames on a loopback port, misbehaves as its script
+// says, and logs every part that reaches it. For tests and demonstrations; decides nothing about queries.
+#ifndef LIFTRUDDER_TOOLS_STANDIN_HOLDER_H_
+#define LIFTRUDDER_TOOLS_STANDIN_HOLDER_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "net/socket.h"
+
+namespace liftrudder::standin {
+
+enum class Act { kServe, kBreak, kSkip, kReset, kSilent, kSpoil };
+
+struct Behaviour {
+  Act act = Act::kServe;
+  net::Micros delay_us = 0;
+};
+
+struct LoggedPart {
+  std::string part;  // the call id, a dot, the shard
+  net::Micros at_us = 0;
+  Act act = Act::kServe;  // what was done about it
+  bool given_up = false;  // a frame `c` came for it
+};
+
+class FrameHolder {
+ public:
+  // Asked for each part, on the connection's thread; `nth`: how many parts came before it.
+  using Script = std::function<Behaviour(const std::string& part, std::size_t nth)>;
+
+  explicit FrameHolder(Script script);
+  ~FrameHolder();
+
+  const std::string& addr() const { return addr_; }
+  std::vector<LoggedPart> Log() const;
+
+ private:
+  struct Connection {
+    net::Fd fd;
+    net::Thread reader;
+    std::atomic<bool> over{false};
+  };
+  struct Reply {
+    std::shared_ptr<Connection> to;
+    std::string part;
+    Act act = Act::kServe;
+  };
+
+  void AcceptLoop();
+  void ReadLoop(const std::shared_ptr<Connection>& connection);
+  void Take(const std::shared_ptr<Connection>& connection, std::string_view frame);
+  void AnswerLoop();
+
+  const Script script_;
+  net::Fd listener_;
+  std::string addr_;
+  net::SteadyClock clock_;
+  mutable std::mutex mutex_;
+  std::condition_variable due_;
+  bool stopping_ = false;
+  std::vector<LoggedPart> log_;
+  std::multimap<net::Micros, Reply> replies_;
+  std::list<std::shared_ptr<Connection>> connections_;
+  net::Thread acceptor_, answerer_;
+};
+
+}  // namespace liftrudder::standin
+
+#endif  // LIFTRUDDER_TOOLS_STANDIN_HOLDER_H_
