--- /dev/null
+++ b/bench/why_cost.cpp
@@ -0,0 +1,263 @@
+// What the record of decisions costs a query: CPU of the whole program with it off, on, and on with a reader
+// at work, in turn over several rounds; and time and allocations of the core alone, without sockets.
+//
+//   why_cost [ROUNDS] [QUERIES A ROUND]      a table; quote the medians and the machine
+#include <fmt/format.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <functional>
+#include <new>
+#include <thread>
+
+#include "core/core.h"
+#include "core/directory.h"
+#include "standin/discovery.h"
+#include "standin/gatherer.h"
+#include "standin/holder.h"
+#include "why/desk.h"
+
+namespace {
+
+std::atomic<std::size_t> allocations{0};
+
+}  // namespace
+
+[[gnu::noinline]] void* operator new(std::size_t size) {
+  allocations.fetch_add(1, std::memory_order_relaxed);
+  if (void* memory = std::malloc(size)) return memory;
+  throw std::bad_alloc();
+}
+[[gnu::noinline]] void operator delete(void* memory) noexcept { std::free(memory); }
+[[gnu::noinline]] void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+
+namespace {
+
+using namespace liftrudder;
+
+constexpr int kHolders = 6, kParts = 6, kClients = 8;
+
+double Median(std::vector<double> values) {
+  std::ranges::sort(values);
+  return values[values.size() / 2];
+}
+
+// ---- The core alone ----
+
+tinsail::Settings CoreSettings() {
+  tinsail::Settings s;
+  tinsail::ClassSettings search{2'000'000, 4'000'000, 0.3, 5,   tinsail::Effect::kIdempotent, 0, 0,
+                                0,         0.4,       1,   0.95};
+  s.classes = {search};
+  s.cells = s.shards = kHolders;
+  s.reach = 3;
+  s.max_attempts = 3;
+  s.may_cancel = s.may_copy = true;
+  s.resolution_us = 1;
+  return s;
+}
+
+// Answers every attempt at once.
+class Echo : public core::HolderTransport {
+ public:
+  explicit Echo(core::Core& core) : core_(core) {}
+  void Start(core::AttemptOrder order) override {
+    core_.Post(core::AttemptResult{order.key, core::Progress::kAnswering, core::Cause::kServed, {}, "v"});
+  }
+  void Withdraw(const core::AttemptKey&, const core::ReplicaId&, core::Cause) override {}
+  void CloseIdle(const core::ReplicaId&) override {}
+  void ForgetGone() override {}
+
+ private:
+  core::Core& core_;
+};
+
+class Signal : public core::ClientReply {
+ public:
+  explicit Signal(std::atomic<int>& left) : left_(left) {}
+  void Deliver(core::FinalAnswer) override { left_.fetch_sub(1); }
+
+ private:
+  std::atomic<int>& left_;
+};
+
+struct Cost {
+  double cpu_us = 0, allocations = 0;
+};
+
+Cost CoreCost(bool record, bool readers, int queries) {
+  tinsail::Settings settings = CoreSettings();
+  net::SteadyClock clock;
+  core::Directory directory(settings);
+  metrics::Counters counters;
+  core::Core core(settings, 7, clock, directory, counters);
+  Echo echo(core);
+  core.Attach(echo);
+  std::optional<why::Recorder> recorder;
+  if (record) {
+    recorder.emplace(4 * 1024 * 1024, "", why::About{"bench", clock.Now(), {"search"}}, 7);
+    core.Attach(*recorder);
+  }
+  core::HolderList list;
+  for (int cell = 0; cell < kHolders; ++cell)
+    list.entries.push_back({fmt::format("s-{}", cell), "127.0.0.1:1", {{}, 0, 0, cell}});
+  core.Post(*directory.Apply(list, clock.Now()));
+  std::atomic<std::int64_t> core_ns{0};
+  std::thread loop([&] {
+    core.Run();
+    timespec used{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    core_ns = used.tv_sec * 1'000'000'000 + used.tv_nsec;
+  });
+  std::atomic<bool> done{false};
+  std::thread reader([&] {
+    if (!readers || !record) return;
+    why::Desk desk(
+        recorder->arena(), [&] { core.Freshen(); }, [&] { return clock.Now(); });
+    while (!done) {
+      desk.Ask({{"limit", "50"}, {"format", "json"}});
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+  });
+  std::atomic<int> left{0};
+  std::size_t before = 0;
+  int warm = queries / 4;
+  for (int i = 0; i < queries + warm; ++i) {
+    if (i == warm) before = allocations;
+    core::QueryRequest request;
+    request.received_us = clock.Now();
+    request.deadline_us = request.received_us + 4'000'000;
+    core::Payload payload;
+    payload.call_id = fmt::format("bench-{:08}", i);
+    request.payload = std::make_shared<const core::Payload>(std::move(payload));
+    for (int part = 0; part < kParts; ++part) request.parts.push_back({part, 1.0 / kParts, 0, 0});
+    left.fetch_add(1);
+    core.Admit(std::move(request), std::make_shared<Signal>(left));
+    while (left.load() > 4) std::this_thread::yield();
+  }
+  while (left.load() > 0) std::this_thread::yield();
+  std::size_t used = allocations - before;
+  done = true;
+  core.Stop();
+  loop.join();
+  reader.join();
+  return {static_cast<double>(core_ns.load()) / 1e3 / (queries + warm), static_cast<double>(used) / queries};
+}
+
+// ---- The whole program ----
+
+std::string Config(const standin::Discovery& discovery, std::size_t bytes) {
+  return fmt::format(
+      R"({{"name":"n1","seed":"8c1f30d27a5be964","listen":"127.0.0.1:0","discovery":"{}","limits":{{"sockets":1024,"memory_mb":192}},
+"why":{{"bytes":{}}},"known":{},"settings":{{"az":0,"groupSize":1,"ordinal":0,"resolutionUs":5000,"dcs":["dc1"],"kinds":["k"],
+"registryMode":"automatic","loadInfo":{{"how":"inline","names":["queue","inflight"]}},
+"grades":[{{"name":"search","aimUs":2000000,"giveUpUs":4000000,"lateShare":0.3,"value":5.0,"effect":"idempotent","repeatWindowUs":5000000,"dedupScope":"all"}}],
+"familyInfo":{{"cells":6,"reach":3,"slices":6,"perCall":1,"classFetch":[0],"classFloor":[0.4],"wholeAt":[1.0],"incompleteWorth":[0.95]}},
+"bounds":{{"attemptsCap":3,"cancelling":true,"connectTimeoutUs":250000,"idleCloseUs":30000000,"maxOpen":800,"maxRetryAfterUs":500000,"probes":true,"retryAfter":true,"secondCopies":true,"streamsPerConn":100}},
+"rules":{{"graceToAnswerUs":20000,"stopSendingWithinUs":1000000}}}}}})",
+      discovery.addr(), bytes, discovery.List());
+}
+
+double ProgramCost(std::size_t bytes, bool readers, int queries, const std::string& folder) {
+  standin::Discovery discovery;
+  std::vector<std::unique_ptr<standin::FrameHolder>> holders;
+  for (int cell = 0; cell < kHolders; ++cell) {
+    holders.push_back(std::make_unique<standin::FrameHolder>([](const std::string&, std::size_t) {
+      return standin::Behaviour{standin::Act::kServe, 3'000};
+    }));
+    discovery.Tell(fmt::format("s-{}", cell), holders.back()->addr(), cell, "ready");
+  }
+  standin::Gatherer gatherer(LIFTRUDDER_PROGRAM, folder, Config(discovery, bytes));
+  if (gatherer.addr().empty()) {
+    std::fprintf(stderr, "%s\n", gatherer.Log().c_str());
+    std::exit(1);
+  }
+  std::atomic<int> next{0}, answered{0};
+  std::vector<std::thread> clients;
+  for (int who = 0; who < kClients; ++who) {
+    clients.emplace_back([&] {
+      net::Fd fd = net::Connect(gatherer.addr(), standin::kPatience);
+      for (int i = next.fetch_add(1); i < queries; i = next.fetch_add(1)) {
+        std::string tablets, in;
+        for (int part = 0; part < kParts; ++part)
+          tablets += fmt::format("{}{{\"tablet\":{},\"fraction\":0.166667}}", part > 0 ? "," : "", part);
+        std::string body = fmt::format("{{\"tablets\":[{}],\"statement\":\"s\"}}", tablets);
+        net::WriteAll(
+            fd,
+            fmt::format("POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: b-{}\r\nX-Call-Class: search\r\n"
+                        "X-Budget: 3.5\r\nContent-Length: {}\r\n\r\n{}",
+                        i, body.size(), body),
+            standin::kPatience);
+        net::HttpParser parser(net::HttpParser::Kind::kResponse);
+        auto state = net::HttpParser::State::kHead;
+        while (state != net::HttpParser::State::kDone &&
+               net::ReadSome(fd, in, standin::kPatience) == net::Io::kOk)
+          state = parser.Feed(in);
+        answered += parser.message().status == 200 ? 1 : 0;
+      }
+    });
+  }
+  std::atomic<bool> done{false};
+  std::thread reader([&] {
+    while (readers && !done) {
+      standin::Get(gatherer.addr(), "/-/why?limit=50&format=json");
+      std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    }
+  });
+  for (std::thread& client : clients) client.join();
+  done = true;
+  reader.join();
+  if (answered != queries) std::fprintf(stderr, "only %d of %d were answered\n", answered.load(), queries);
+  return gatherer.Stop() * 1e6 / queries;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  int rounds = argc > 1 ? std::atoi(argv[1]) : 7, queries = argc > 2 ? std::atoi(argv[2]) : 4000;
+  struct Way {
+    const char* name;
+    bool on, readers;
+  };
+  constexpr Way kWays[] = {{"off", false, false}, {"on", true, false}, {"on, a reader", true, true}};
+  std::vector<double> core_cpu[3], core_allocations[3], program[3];
+  std::string folder = "/tmp/why-cost-" + std::to_string(::getpid());
+  std::filesystem::create_directory(folder);
+  // The order turns from round to round, so that a machine that slows down or speeds up favours no way.
+  for (int round = 0; round < rounds; ++round) {
+    for (int turn = 0; turn < 3; ++turn) {
+      int way = (round + turn) % 3;
+      Cost cost = CoreCost(kWays[way].on, kWays[way].readers, queries * 4);
+      core_cpu[way].push_back(cost.cpu_us);
+      core_allocations[way].push_back(cost.allocations);
+      program[way].push_back(
+          ProgramCost(kWays[way].on ? 4 * 1024 * 1024 : 0, kWays[way].readers, queries, folder));
+    }
+  }
+  std::filesystem::remove_all(folder);
+  std::printf("%u cores; %d rounds in turn; a query has %d parts; medians, and least to most\n\n",
+              std::thread::hardware_concurrency(), rounds, kParts);
+  double paired[3];
+  for (int way = 0; way < 3; ++way) {
+    std::vector<double> ratios;
+    for (std::size_t round = 0; round < program[way].size(); ++round)
+      ratios.push_back(program[way][round] / program[0][round]);
+    paired[way] = Median(ratios);
+  }
+  std::printf(
+      "| record | core alone, CPU us a query | allocations a query | whole program, CPU us a query | to off, "
+      "pair by pair |\n|---|---|---|---|---|\n");
+  for (int way = 0; way < 3; ++way) {
+    std::ranges::sort(core_cpu[way]);
+    std::ranges::sort(program[way]);
+    std::printf("| %s | %.2f (%.2f to %.2f) | %.2f | %.1f (%.1f to %.1f) | %.3f |\n", kWays[way].name,
+                Median(core_cpu[way]), core_cpu[way].front(), core_cpu[way].back(),
+                Median(core_allocations[way]), Median(program[way]), program[way].front(),
+                program[way].back(), paired[way]);
+  }
+}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -67,6 +67,21 @@
   return listener;
 }
 
+// A file that cannot be had is no reason not to serve: the record is kept in memory then, and that is said.
+void StartRecord(const lr::config::Config& config, lr::core::Micros now_us,
+                 std::optional<lr::why::Recorder>& recorder) {
+  lr::why::About about{config.name, now_us, config.classes};
+  std::string file = config.why.file;
+  try {
+    recorder.emplace(config.why.bytes, file, about, config.seed);
+  } catch (const std::runtime_error& error) {
+    if (file.empty()) throw;
+    lr::log::Error("{}; it is kept in memory", error.what());
+    recorder.emplace(config.why.bytes, file = "", about, config.seed);
+  }
+  lr::log::Info("the record of decisions has {} bytes{}{}", recorder->Claimed(), file.empty() ? "" : ", in ", file);
+}
+
 // `options` is null on the platform; elsewhere clients and holders are spoken to in the search API.
 void Serve(const std::string& path, const lr::config::Config& config, const lr::opensearch::Options* options,
            const lr::dns::ZoneOptions& zone, const sigset_t& signals) {
@@ -88,13 +103,9 @@
   std::optional<lr::why::Recorder> recorder;
   std::optional<lr::why::Desk> desk;
   if (config.why.bytes > 0) {
-    recorder.emplace(config.why.bytes, config.why.file,
-                     lr::why::About{config.name, clock.Now(), config.classes}, config.seed);
+    StartRecord(config, clock.Now(), recorder);
     core.Attach(*recorder);
-    desk.emplace(
-        recorder->arena(), [&core] { core.Freshen(); }, [&clock] { return clock.Now(); });
-    lr::log::Info("the record of decisions has {} bytes{}{}", recorder->Claimed(),
-                  config.why.file.empty() ? "" : ", in ", config.why.file);
+    desk.emplace(recorder->arena(), [&core] { core.Freshen(); }, [&clock] { return clock.Now(); });
   }
   lr::why::Desk* asked = desk ? &*desk : nullptr;
   if (zone.file.empty()) {
--- a/src/why/arena.cpp
+++ b/src/why/arena.cpp
@@ -67,7 +67,7 @@
                         MAP_PRIVATE | MAP_ANONYMOUS | MAP_POPULATE, -1, 0);
   if (memory == MAP_FAILED)
     throw std::runtime_error("record: no memory for " + std::to_string(layout.bytes) + " bytes");
-  Arena arena(static_cast<std::uint64_t*>(memory), layout, true);
+  Arena arena(static_cast<std::uint64_t*>(memory), layout, false);
   arena.WriteHead(about);
   return arena;
 }
@@ -129,10 +129,10 @@
 }
 
 Arena::Arena(Arena&& other) noexcept
-    : words_(std::exchange(other.words_, nullptr)), layout_(other.layout_), mapped_(other.mapped_) {}
+    : words_(std::exchange(other.words_, nullptr)), layout_(other.layout_), summed_(other.summed_) {}
 
 Arena::~Arena() {
-  if (words_ != nullptr && mapped_) ::munmap(words_, layout_.bytes);
+  if (words_ != nullptr) ::munmap(words_, layout_.bytes);
 }
 
 void Arena::WriteHead(const About& about) {
@@ -170,7 +170,8 @@
 void Arena::EndCell(std::size_t at, std::size_t words) {
   std::uint64_t sequence = (Load(at) & 0xffffffff) + 1;
   // Only the writer writes, so it may read its own words plainly.
-  Store(at, std::uint64_t{Sum(words_ + at + 1, words - 1)} << 32 | (sequence & 0xffffffff));
+  std::uint64_t sum = summed_ ? Sum(words_ + at + 1, words - 1) : 0;
+  Store(at, sum << 32 | (sequence & 0xffffffff));
 }
 
 Arena::Cell Arena::ReadCell(std::size_t at, std::span<std::uint64_t> out) const {
@@ -180,7 +181,8 @@
     out[0] = before;
     for (std::size_t i = 1; i < out.size(); ++i) out[i] = Load(at + i);
     if (Load(at) != before) continue;
-    return Sum(out.data() + 1, out.size() - 1) == before >> 32 ? Cell::kGood : Cell::kTorn;
+    bool fits = !summed_ || Sum(out.data() + 1, out.size() - 1) == before >> 32;
+    return fits ? Cell::kGood : Cell::kTorn;
   }
   return Cell::kBusy;
 }
--- a/src/why/arena.h
+++ b/src/why/arena.h
@@ -73,7 +73,8 @@
     std::atomic_ref<std::uint64_t>(words_[word]).store(value, std::memory_order_release);
   }
 
-  // A cell is words guarded by their first: sequence (odd while written) and checksum of the others.
+  // A cell is words guarded by their first: sequence (odd while written) and, in a file, checksum of the others. In
+  // memory nothing can tear them apart that the sequence does not show.
   void BeginCell(std::size_t at);
   void EndCell(std::size_t at, std::size_t words);
   enum class Cell { kGood, kBusy, kTorn };
@@ -81,13 +82,13 @@
   Cell ReadCell(std::size_t at, std::span<std::uint64_t> out) const;
 
  private:
-  Arena(std::uint64_t* words, const Layout& layout, bool mapped)
-      : words_(words), layout_(layout), mapped_(mapped) {}
+  Arena(std::uint64_t* words, const Layout& layout, bool summed)
+      : words_(words), layout_(layout), summed_(summed) {}
   void WriteHead(const About& about);
 
   std::uint64_t* words_;
   Layout layout_;
-  bool mapped_;
+  bool summed_;
 };
 
 }  // namespace liftrudder::why
--- a/src/why/desk.cpp
+++ b/src/why/desk.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t kMostStories = 500;
-constexpr double kReadsPerSecond = 5, kReadBurst = 10;
+constexpr double kReadsPerSecond = 2, kReadBurst = 10;  // a reading of 50 queries as JSON takes some 15 ms of a core
 // Between pieces of a scan the core is left to others: a scan costs some 30 ms of pauses a MiB, and no query
 // waits.
 constexpr auto kPause = std::chrono::milliseconds(2);
--- a/src/why/reader.cpp
+++ b/src/why/reader.cpp
@@ -63,7 +63,7 @@
         ++found.busy;
         continue;
       case Arena::Cell::kTorn:
-        ++found.torn;
+        found.torn += Low(arena_.Load(at + 1)) != 0 ? 1 : 0;
         continue;
       case Arena::Cell::kGood:
         break;
@@ -87,8 +87,10 @@
     auto cell = block < layout.blocks ? arena_.ReadCell(layout.block_at + block * kBlockWords, words)
                                       : Arena::Cell::kTorn;
     bool good = cell == Arena::Cell::kGood;
+    // Nobody's any more: it was let go of while it was read, which is no damage.
+    bool freed = block < layout.blocks && Low(arena_.Load(layout.block_at + block * kBlockWords + 1)) == 0;
     found.busy += cell == Arena::Cell::kBusy ? 1 : 0;
-    found.torn += cell == Arena::Cell::kTorn ? 1 : 0;
+    found.torn += cell == Arena::Cell::kTorn && !freed ? 1 : 0;
     // Let go of while it was read: the block is another's now. Of the head, the whole query is gone then.
     bool its = good && Low(words[1]) == head.serial && (words[1] >> 32 & 0xffff) == (index & 0xffff);
     if (!its && index == 0) return std::nullopt;
--- a/src/why/recorder.cpp
+++ b/src/why/recorder.cpp
@@ -116,7 +116,7 @@
   Count(kTallyDropped + static_cast<std::size_t>(group));
   retention_.Drop(number);
   for (std::uint32_t block = entry.head; block != kNoBlock;) {
-    Touch(block);
+    // One word says that it is nobody's; what else it holds is overwritten when it is taken again.
     auto next = static_cast<std::uint32_t>(arena_.Load(WordOf(block) + 2));
     arena_.Store(WordOf(block) + 1, 0);
     free_blocks_.push_back(block);
--- /dev/null
+++ b/tools/standin/gatherer.cpp
@@ -0,0 +1,123 @@
+#include "standin/gatherer.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace liftrudder::standin {
+namespace {
+
+[[noreturn]] void Become(const std::string& program, const std::vector<std::string>& arguments) {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing outlives a test that is ended
+  std::vector<char*> all{const_cast<char*>("liftrudder")};
+  for (const std::string& one : arguments) all.push_back(const_cast<char*>(one.c_str()));
+  all.push_back(nullptr);
+  ::execv(program.c_str(), all.data());
+  ::_exit(127);
+}
+
+}  // namespace
+
+Gatherer::Gatherer(const std::string& program, const std::string& folder, const std::string& config,
+                   const std::vector<std::string>& arguments)
+    : log_(folder + "/log") {
+  std::string path = folder + "/config.json";
+  std::ofstream(path) << config;
+  std::vector<std::string> words = arguments;
+  for (std::string& word : words) {
+    if (word == "$CONFIG") word = path;
+  }
+  ::unlink(log_.c_str());
+  child_ = ::fork();
+  if (child_ == 0) {
+    int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    ::dup2(log, STDERR_FILENO);
+    ::setenv("BALANCER_CONFIG", path.c_str(), 1);
+    Become(program, words);
+  }
+  const std::string mark = " listens on ";
+  for (net::Micros waited = 0; addr_.empty() && waited < kPatience; waited += 10'000) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    std::string text = Log();
+    auto at = text.find(mark);
+    if (at != std::string::npos && text.find('\n', at) != std::string::npos)
+      addr_ = text.substr(at + mark.size(), text.find('\n', at) - at - mark.size());
+  }
+}
+
+std::string Gatherer::Log() const {
+  std::ostringstream out;
+  out << std::ifstream(log_).rdbuf();
+  return out.str();
+}
+
+void Gatherer::Signal(int signal) const { ::kill(child_, signal); }
+
+void Gatherer::Kill() {
+  if (child_ <= 0) return;
+  ::kill(child_, SIGKILL);
+  ::waitpid(child_, nullptr, 0);
+  child_ = -1;
+}
+
+double Gatherer::Stop() {
+  if (child_ <= 0) return -1;
+  ::kill(child_, SIGTERM);
+  int status = 0;
+  rusage used{};
+  ::wait4(child_, &status, 0, &used);
+  child_ = -1;
+  if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) return -1;
+  auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+  };
+  return seconds(used.ru_utime) + seconds(used.ru_stime);
+}
+
+net::HttpMessage Fetch(const std::string& addr, const std::string& request) {
+  net::Fd fd = net::Connect(addr, kPatience);
+  net::HttpParser parser(net::HttpParser::Kind::kResponse, std::size_t{1} << 22);
+  if (!fd.Valid() || net::WriteAll(fd, request, kPatience).status != net::Io::kOk) return {};
+  std::string in;
+  auto state = net::HttpParser::State::kHead;
+  while (state != net::HttpParser::State::kDone && net::ReadSome(fd, in, kPatience) == net::Io::kOk)
+    state = parser.Feed(in);
+  if (state != net::HttpParser::State::kDone) return {};
+  return parser.message();
+}
+
+net::HttpMessage Get(const std::string& addr, const std::string& target) {
+  return Fetch(addr, "GET " + target + " HTTP/1.1\r\nHost: g\r\n\r\n");
+}
+
+std::pair<int, std::string> RunProgram(const std::string& program,
+                                       const std::vector<std::string>& arguments) {
+  int ends[2];
+  if (::pipe(ends) != 0) return {-1, ""};
+  pid_t child = ::fork();
+  if (child == 0) {
+    ::dup2(ends[1], STDOUT_FILENO);
+    ::dup2(ends[1], STDERR_FILENO);
+    ::close(ends[0]);
+    Become(program, arguments);
+  }
+  ::close(ends[1]);
+  std::string out;
+  char buffer[4096];
+  for (ssize_t got = 0; (got = ::read(ends[0], buffer, sizeof buffer)) > 0;)
+    out.append(buffer, static_cast<std::size_t>(got));
+  ::close(ends[0]);
+  int status = 0;
+  ::waitpid(child, &status, 0);
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, out};
+}
+
+}  // namespace liftrudder::standin
--- /dev/null
+++ b/tools/standin/gatherer.h
@@ -0,0 +1,49 @@
+// Starts the program under test as a child, with a configuration of its own, and ends it. For tests and
+// measurements.
+#ifndef LIFTRUDDER_TOOLS_STANDIN_GATHERER_H_
+#define LIFTRUDDER_TOOLS_STANDIN_GATHERER_H_
+
+#include <sys/types.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/http.h"
+#include "net/socket.h"
+
+namespace liftrudder::standin {
+
+constexpr net::Micros kPatience = 20'000'000;  // ends what hangs, decides nothing else
+
+class Gatherer {
+ public:
+  // Writes the configuration into the folder and starts the program there; `arguments` with $CONFIG for the
+  // file's path. Ready once addr() is not empty; else Log() says why not.
+  Gatherer(const std::string& program, const std::string& folder, const std::string& config,
+           const std::vector<std::string>& arguments = {});
+  ~Gatherer() { Kill(); }
+  Gatherer(const Gatherer&) = delete;
+
+  const std::string& addr() const { return addr_; }
+  std::string Log() const;
+  void Signal(int signal) const;
+  void Kill();
+  // SIGTERM, and its CPU seconds (user and system) once it has ended; negative when it ended badly.
+  double Stop();
+
+ private:
+  std::string log_, addr_;
+  pid_t child_ = -1;
+};
+
+// A request on a connection of its own, and its answer; status 0: none came.
+net::HttpMessage Fetch(const std::string& addr, const std::string& request);
+net::HttpMessage Get(const std::string& addr, const std::string& target);
+
+// Runs the program to its end: exit code and what it printed to both outputs.
+std::pair<int, std::string> RunProgram(const std::string& program, const std::vector<std::string>& arguments);
+
+}  // namespace liftrudder::standin
+
+#endif  // LIFTRUDDER_TOOLS_STANDIN_GATHERER_H_
