Key sets, callers' tokens and a gate that forgets a withdrawn key at once

Need: anyone who reaches a listener may ask anything; the first piece of telling callers apart is to read their tokens and the keys that sign them.

The running program does not use it yet; docs/design/identity.md says what is to come.

--- /dev/null
+++ b/src/identity/base64url.h
@@ -0,0 +1,19 @@
+// base64url without padding (RFC 4648 section 5, as RFC 7515 section 2 has it), strictly: one text for one
+// value. Plain functions, any thread.
+#ifndef LIFTRUDDER_IDENTITY_BASE64URL_H_
+#define LIFTRUDDER_IDENTITY_BASE64URL_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace liftrudder::identity {
+
+// Nothing where a character is none of the alphabet (padding, blanks and line ends included), the length is
+// impossible, or the bits left over are not zero: two texts for one signature would be two tokens to a cache.
+std::optional<std::string> DecodeBase64Url(std::string_view text);
+std::string EncodeBase64Url(std::string_view bytes);
+
+}  // namespace liftrudder::identity
+
+#endif  // LIFTRUDDER_IDENTITY_BASE64URL_H_
