--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -226,6 +226,7 @@
     viewed_us = now;
     double keep = std::exp(-dt / (kLatencyMemory * least_aim_us));
     reap_us *= std::exp(dt / (kReapMemory * least_aim_us));
+    proven_us *= std::exp(-dt / (kReapMemory * least_aim_us));
     losses *= std::exp(-dt / (kLossMemory * least_aim_us));
     for (double& count : histogram) count *= keep;
     for (auto [share, count] : kPrior) histogram[Bucket(share * least_aim_us)] += (1 - keep) * count;
@@ -373,7 +374,8 @@
 
   // A replica that answers nothing shows only by the age of what it holds. Where the first part went out on a
   // connection long unused, something between may have dropped that: the parts are sent elsewhere,
-  // connections are closed before use after half that time, and the next part there tells which it was.
+  // connections are closed before use after half that time, and the next part there tells which it was. What
+  // drops unused connections drops them all: no sooner than after a time for which one was seen to live.
   void JudgeSilence(Server& server) {
     if (server.out.empty()) return;
     Micros oldest = now;
@@ -383,7 +385,7 @@
     if (oldest != server.idle_sent_us || !s.may_cancel) return;
     server.trial_us = 0;
     server.trial_turn = 0;
-    reap_us = std::max(std::min(reap_us, server.idle_us) / 2, kReapLeast * least_aim_us);
+    reap_us = std::max({std::min(reap_us, server.idle_us) / 2, kReapLeast * least_aim_us, proven_us});
     server.idle_sent_us = 0;
     server.stale = true;
     for (const auto& [key, sent] : server.out)
@@ -425,10 +427,11 @@
     server.used_us = now;
   }
 
-  void JudgeOutcome(Server& server, const AttemptEnded& ended, int depth) {
+  void JudgeOutcome(Server& server, const AttemptEnded& ended, const Attempt& attempt) {
     if (ended.code == OutcomeCode::kMoot || ended.code == OutcomeCode::kCancelled) return;
     if (ended.code != OutcomeCode::kTimeout) server.replied_us = server.used_us = now;
     bool ok = ended.code == OutcomeCode::kOk;
+    if (ok && attempt.sent_us == server.idle_sent_us) proven_us = std::max(proven_us, server.idle_us);
     // Turned away: what it holds does not come in with the aim, nor would this part have.
     exposure_us += ended.code == OutcomeCode::kFull ? least_aim_us : 0;
     new_answers += (ok && !server.sick) || ended.code == OutcomeCode::kFull ? 1 : 0;
@@ -452,11 +455,11 @@
         }
       } else {
         Observe(spent);
-        if (Warmth(server) >= 1) per_part_us += kPerPartGain * (spent / depth - per_part_us);
+        if (Warmth(server) >= 1) per_part_us += kPerPartGain * (spent / attempt.depth - per_part_us);
       }
       // Of a sick one too: where it is the last holder of a shard, this says what its parts will take.
       if (server.per_part_us == 0) server.per_part_us = per_part_us;
-      server.per_part_us += kServerGain * (spent / depth - server.per_part_us);
+      server.per_part_us += kServerGain * (spent / attempt.depth - server.per_part_us);
       if (Warmth(server) >= 1) {  // a cold replica is slow by nature
         server.log_sum = server.log_sum * kHealthMemory + ratio;
         server.samples = server.samples * kHealthMemory + 1;
@@ -821,7 +824,7 @@
     auto server = servers.find(attempt.replica);
     if (server != servers.end()) {
       server->second.out.erase({part.id, ended.attempt});
-      JudgeOutcome(server->second, ended, attempt.depth);
+      JudgeOutcome(server->second, ended, attempt);
     }
     if (attempt.lost && server != servers.end()) NoteLoss(server->second);
     auto query = queries.find(part.query);
@@ -1048,6 +1051,7 @@
   std::vector<Zone> zones;
   double usable = 0;      // replicas
   double reap_us = 1e12;  // connections unused for this long are closed before use; may grow without bound
+  double proven_us = 0;   // the longest time that one was unused and lived, of late
   double losses = 0;      // replicas lost unannounced of late
   bool timer_set = false;
   double query_gap_us = 0;  // usual time between queries of this instance; when the newest came:
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -651,6 +651,29 @@
   EXPECT_EQ(bench.Last<Close>().size(), 1u);
 }
 
+// Fleet: a holder that paused now and then had all connections unused for as long closed, 20,000 a day. One
+// that was unused for longer and answered proves that no such thing drops them.
+TEST(IdleConnection, OnesThatLivedUnusedForLongerAreNotClosedForOneSilentReplica) {
+  Bench bench;
+  bench.Calm(60);
+  bench.now += 2000 * kMs;
+  bench.Ask(1, kWhole, {0.25, 0.25, 0.25, 0.25}, 3 * kAim);
+  bench.now += 100 * kMs;
+  for (Id part : {100, 102, 103}) bench.End(part, 0);  // unused for 2 s and well; the fourth replica pauses
+  bool cancelled = false;
+  for (int i = 0; i < 300 && !cancelled; ++i) {
+    bench.Tick(5 * kMs);
+    for (const Cancel& cancel : bench.Last<Cancel>()) cancelled = cancelled || cancel.part == 101;
+  }
+  EXPECT_TRUE(cancelled);
+  ReplicaId paused = bench.Where(101);
+  bench.End(101, 0, OutcomeCode::kCancelled);
+  bench.EndAll();
+  bench.now += 1500 * kMs;
+  bench.Ask(2, kWhole, {0.25, 0.25, 0.25, 0.25});
+  for (const Close& close : bench.Last<Close>()) EXPECT_EQ(close.replica, paused);
+}
+
 // quebec-later big-2: whole-only queries waited for one part of 28.
 TEST(Straggler, OfAWholeOnlyQueryIsCopiedLongBeforeTheCopyQuantile) {
   for (int cls : {kWhole, kPartial}) {
