One thread for all links to holders; crowded fleets ran out of threads

A thread that cannot be had leaves a link without a writer, whose attempts never end.

Lines at fault: src/net/holder_links.cpp, Link::WriteLoop and ReadLoop, a thread each.

Change: connects, writes and reads without blocking; the core's thread writes, one thread polls all connections and keeps the bounds in time. A connect that is slow keeps only its own attempts waiting, and at the cap the connection that has stood idle longest makes room.

--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -1,7 +1,10 @@
 #include "net/holder_links.h"
 
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 #include <algorithm>
-#include <chrono>
 #include <exception>
 
 #include "log/log.h"
@@ -10,290 +13,448 @@
 namespace {
 
 constexpr Micros kWriteWait = 1'000'000;
-constexpr Micros kSlice = 500'000;  // how soon a reader looks whether its connection has stood idle too long
+constexpr Micros kSlice = 100'000;  // how often the thread looks for what is overdue at least
 constexpr double kIdleShare = 0.8;  // of the time after which the holder closes: not used from then on
 constexpr std::size_t kMaxPending = 256 * 1024;
 constexpr Micros kStall = 500'000;  // an answer that has begun and does not go on for so long is spoilt
 constexpr std::size_t kMostWithdrawn = 64;  // on one connection, before it is left for another
-constexpr double kSpread = 0.75;     // of all connections: up to here each part out gets one of its own
+constexpr double kSpread = 0.75;  // of all connections: up to here each part out gets one of its own
 constexpr Micros kSlowConnect = 20'000;
+constexpr int kTurns = 2;            // connections that may break before an attempt's first byte
+constexpr int kAtOnce = 64;          // events in one turn
+constexpr int kReadsAtOnce = 32;     // of one connection in one turn, 8 KiB each at most
+constexpr std::uint64_t kWaker = 0;  // no connection's number
 
 }  // namespace
 
-Link::Link(LinkContext& context, core::ReplicaId holder)
-    : context_(context), holder_(holder), writer_([this] { WriteLoop(); }) {}
+HolderLinks::HolderLinks(const Dialect& dialect, const core::HolderDirectory& directory,
+                         const core::Clock& clock, const LinkLimits& limits, metrics::Counters& counters,
+                         ResultSink sink)
+    : dialect_(dialect),
+      directory_(directory),
+      clock_(clock),
+      limits_(limits),
+      idle_limit_us_(static_cast<Micros>(kIdleShare * static_cast<double>(limits.idle_close_us))),
+      counters_(counters),
+      sink_(std::move(sink)),
+      epoll_(::epoll_create1(EPOLL_CLOEXEC)),
+      waker_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  epoll_event event{EPOLLIN, {}};
+  event.data.u64 = kWaker;
+  ::epoll_ctl(epoll_.Get(), EPOLL_CTL_ADD, waker_.Get(), &event);
+  thread_ = Thread([this] { Loop(); });
+}
 
-Link::~Link() {
+HolderLinks::~HolderLinks() {
   {
     std::lock_guard lock(mutex_);
     stopping_ = true;
-    for (const auto& connection : connections_) Retire(connection);
-    wake_.notify_all();
+    Wake();
   }
-  writer_.Join();
-  for (const auto& connection : connections_) connection->reader.Join();
+  thread_.Join();
+  while (!live_.empty()) Finish(live_.begin()->first, core::Cause::kConnectionLost);
 }
 
-void Link::Start(core::AttemptOrder order) {
+// ---- what the core asks for ----
+
+void HolderLinks::Start(core::AttemptOrder order) {
   std::lock_guard lock(mutex_);
+  Link& link = links_[order.holder];
+  link.holder = order.holder;
   core::AttemptKey key = order.key;
-  live_[key].order = std::move(order);
-  queue_.push_back(key);
-  wake_.notify_one();
+  Attempt& attempt = live_[key];
+  attempt.order = std::move(order);
+  attempt.queued_us = clock_.Now();
+  link.queue.push_back(key);
+  Pump(link);
 }
 
-// The attempt ends now, whatever its holder or our own writer is at: an attempt's end waits for no socket.
-void Link::Withdraw(const core::AttemptKey& key, core::Cause cause) {
+// The attempt ends now, whatever its holder is at: an attempt's end waits for no socket.
+void HolderLinks::Withdraw(const core::AttemptKey& key, const core::ReplicaId&, core::Cause cause) {
   std::lock_guard lock(mutex_);
   auto found = live_.find(key);
   if (found == live_.end()) return;
-  if (found->second.progress >= core::Progress::kPartlyWritten) {
-    std::string id = context_.dialect.Id(found->second.order);
-    std::shared_ptr<Connection> connection = found->second.connection;
+  auto place = connections_.find(found->second.connection);
+  if (found->second.progress >= core::Progress::kPartlyWritten && place != connections_.end()) {
+    Connection& connection = place->second;
+    Link& link = *connection.link;
+    std::string id = dialect_.Id(found->second.order);
     // Answers to these may come late or never: a connection that has met many is replaced, lest they pile up.
-    connection->withdrawn.push_back(id);
-    connection->given_up = connection->withdrawn.size() >= kMostWithdrawn;
-    std::erase_if(connection->out, [&](const auto& one) { return one.second == key; });
-    if (context_.dialect.GiveUp(id).empty()) {
-      if (connection->out.empty()) Retire(connection);
+    connection.withdrawn.push_back(id);
+    connection.given_up = connection.withdrawn.size() >= kMostWithdrawn;
+    std::erase_if(connection.out, [&](const auto& one) { return one.second == key; });
+    std::string frame = dialect_.GiveUp(id);
+    if (frame.empty()) {
+      if (connection.out.empty()) Drop(place->first, connection, core::Cause::kConnectionLost);
     } else if (cause == core::Cause::kWithdrawn) {
-      given_up_.emplace_back(connection, id);
-      wake_.notify_one();
+      connection.control.push_back(std::move(frame));
+      if (connection.frame.empty()) Flush(place->first, connection);
     }
+    Pump(link);
   }
   Finish(key, cause);
 }
 
-void Link::CloseIdle() {
+void HolderLinks::CloseIdle(const core::ReplicaId& holder) {
   std::lock_guard lock(mutex_);
-  for (const auto& connection : connections_) {
-    if (connection->out.empty()) Retire(connection);
+  auto link = links_.find(holder);
+  if (link == links_.end()) return;
+  for (Number number : std::vector<Number>(link->second.connections)) {
+    Connection& connection = connections_.at(number);
+    if (connection.up && connection.out.empty()) Drop(number, connection, core::Cause::kConnectionLost);
   }
 }
 
-bool Link::Unused() {
+// Guards a long day, in which holders are replaced for ever, against connections for each of them.
+void HolderLinks::ForgetGone() {
   std::lock_guard lock(mutex_);
-  return live_.empty() && queue_.empty();
+  for (auto one = links_.begin(); one != links_.end();) {
+    auto next = std::next(one);
+    Link& link = one->second;
+    core::HolderAddress holder = directory_.Find(one->first);
+    bool unused = std::ranges::all_of(link.connections,
+                                      [&](Number number) { return connections_.at(number).out.empty(); });
+    std::erase_if(link.queue, [&](const core::AttemptKey& key) { return !live_.contains(key); });
+    if ((holder.id.empty() || holder.stop_sending_us > 0) && unused && link.queue.empty()) {
+      for (Number number : std::vector<Number>(link.connections))
+        Drop(number, connections_.at(number), core::Cause::kConnectionLost);
+      links_.erase(one);
+    }
+    one = next;
+  }
 }
 
-void Link::Finish(const core::AttemptKey& key, core::Cause cause, HolderAnswer answer) {
-  auto found = live_.find(key);
-  if (found == live_.end()) return;
-  core::AttemptResult result{key, found->second.progress, cause, std::move(answer.load),
-                             std::move(answer.value)};
-  live_.erase(found);
-  context_.sink(std::move(result));
+// ---- the links' own thread ----
+
+void HolderLinks::Wake() {
+  std::uint64_t one = 1;
+  [[maybe_unused]] ssize_t written = ::write(waker_.Get(), &one, sizeof one);
 }
 
-void Link::Retire(const std::shared_ptr<Connection>& connection) {
-  connection->dead = true;
-  ShutDown(connection->fd);
+void HolderLinks::Loop() {
+  epoll_event events[kAtOnce];
+  Micros wait_us = kSlice;
+  while (true) {
+    int got = ::epoll_wait(epoll_.Get(), events, kAtOnce, static_cast<int>((wait_us + 999) / 1000));
+    std::lock_guard lock(mutex_);
+    if (stopping_) return;
+    asleep_until_us_ = 0;
+    for (int i = 0; i < got; ++i) {
+      if (events[i].data.u64 == kWaker) {
+        std::uint64_t count = 0;
+        [[maybe_unused]] ssize_t taken = ::read(waker_.Get(), &count, sizeof count);
+      } else {
+        Handle(events[i].data.u64, (events[i].events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0);
+      }
+    }
+    Micros now = clock_.Now();
+    wait_us = std::clamp<Micros>(Sweep(now) - now, 1, kSlice);
+    asleep_until_us_ = now + wait_us;
+  }
 }
 
-// Looked at before the first byte only: a holder that drains, a client that gave up, a time that is over.
-bool Link::Stale(const core::AttemptOrder& order) const {
-  Micros now = context_.clock.Now();
-  core::HolderAddress holder = context_.directory.Find(holder_);
-  bool stopped = holder.id.empty() || (holder.stop_sending_us > 0 && now >= holder.stop_sending_us);
-  return stopped || now >= order.wait_until_us;
+void HolderLinks::Handle(Number number, bool writable) {
+  auto found = connections_.find(number);
+  if (found == connections_.end()) return;  // ended earlier in this turn
+  Connection& connection = found->second;
+  Link& link = *connection.link;
+  if (connection.up) {
+    bool there = !writable || Flush(number, connection);
+    if (there) Receive(number, connection);
+  } else if (ConnectError(connection.fd) != 0) {
+    ConnectFailed(number, connection);
+  } else {
+    CameUp(number, connection);
+  }
+  Pump(link);
 }
 
-void Link::WriteLoop() {
-  std::unique_lock lock(mutex_);
-  while (!stopping_) {
-    // Dead connections are buried here, outside the lock: a reader may want it on its way out.
-    std::list<std::shared_ptr<Connection>> buried;
-    for (auto one = connections_.begin(); one != connections_.end();) {
-      auto next = std::next(one);
-      if ((*one)->dead) buried.splice(buried.end(), connections_, one);
-      one = next;
-    }
-    if (!buried.empty()) {
-      lock.unlock();
-      for (const auto& connection : buried) connection->reader.Join();
-      buried.clear();
-      lock.lock();
-      continue;
-    }
-    if (!given_up_.empty()) {
-      WriteGivenUp(lock);
-    } else if (!queue_.empty()) {
-      core::AttemptKey key = queue_.front();
-      queue_.pop_front();
-      WriteOne(lock, key);
-    } else {
-      wake_.wait(lock);
+// Ends what is overdue; when it wants to look again.
+Micros HolderLinks::Sweep(Micros now) {
+  Micros due = now + kSlice;
+  std::vector<Number> numbers;
+  for (const auto& [number, connection] : connections_) {
+    bool idle = connection.up && connection.out.empty() && now - connection.used_us > idle_limit_us_;
+    bool busy = !connection.up || !connection.pending.empty() || !connection.frame.empty();
+    if (idle || busy) numbers.push_back(number);
+  }
+  for (Number number : numbers) {
+    auto found = connections_.find(number);
+    if (found == connections_.end()) continue;
+    Connection& connection = found->second;
+    Link& link = *connection.link;
+    Micros age = now - connection.begun_us;
+    if (!connection.up && age >= limits_.connect_timeout_us) {
+      ConnectFailed(number, connection);
+    } else if (!connection.up) {
+      link.slow_connect = link.slow_connect || age >= kSlowConnect;
+      due = std::min(due,
+                     connection.begun_us + (age >= kSlowConnect ? limits_.connect_timeout_us : kSlowConnect));
+    } else if (!connection.pending.empty() && now - connection.heard_us >= kStall) {
+      counters_.spoilt.Add();
+      Drop(number, connection, core::Cause::kSpoilt);
+    } else if (!connection.frame.empty() && now >= connection.write_until_us) {
+      Drop(number, connection, core::Cause::kConnectionLost);  // a frame cut short is followed by no other
+    } else if (connection.out.empty() && now - connection.used_us > idle_limit_us_) {
+      Drop(number, connection, core::Cause::kConnectionLost);
     }
+    Pump(link);
   }
-  while (!live_.empty()) Finish(live_.begin()->first, core::Cause::kConnectionLost);
+  return due;
 }
 
-void Link::WriteGivenUp(std::unique_lock<std::mutex>& lock) {
-  auto [connection, id] = std::move(given_up_.front());
-  given_up_.pop_front();
-  if (connection->dead) return;
-  std::string frame = context_.dialect.GiveUp(id);
-  lock.unlock();
-  Written written = WriteAll(connection->fd, frame, kWriteWait);
-  lock.lock();
-  if (written.status != Io::kOk) Retire(connection);
-}
+// ---- connections ----
 
-void Link::WriteOne(std::unique_lock<std::mutex>& lock, const core::AttemptKey& key) {
-  auto found = live_.find(key);
-  if (found == live_.end()) return;  // withdrawn while it waited
-  core::AttemptOrder order = found->second.order;
-  if (Stale(order)) return Finish(key, core::Cause::kStale);
-  std::string id = context_.dialect.Id(order);
-  // A pooled connection that turns out broken before the first byte has told nobody anything: once more, anew.
-  for (int turn = 0; turn < 2; ++turn) {
-    std::shared_ptr<Connection> connection = Pick(lock, id);
-    found = live_.find(key);
-    if (found == live_.end()) return;
-    if (connection == nullptr) return Finish(key, core::Cause::kConnectionLost);
-    if (Stale(order)) return Finish(key, core::Cause::kStale);
-    std::string frame =
-        context_.dialect.Ask(order, connection->addr, order.wait_until_us - context_.clock.Now());
-    found->second.progress = core::Progress::kPartlyWritten;
-    found->second.connection = connection;
-    connection->out.emplace_back(id, key);
-    connection->used_us = context_.clock.Now();
-    lock.unlock();
-    Written written = WriteAll(connection->fd, frame, kWriteWait);
-    lock.lock();
-    found = live_.find(key);
-    if (written.status == Io::kOk) {
-      if (found == live_.end()) return;  // withdrawn meanwhile, and told so
-      found->second.progress = core::Progress::kWhollyWritten;
-      // It ended before we got to note that all was written: for the reason that the reader saw.
-      if (connection->dead) Finish(key, connection->ended_by);
+// Puts what waits on connections, as far as there are any; the rest waits for one that is coming up.
+void HolderLinks::Pump(Link& link) {
+  while (!link.queue.empty()) {
+    core::AttemptKey key = link.queue.front();
+    auto found = live_.find(key);
+    if (found == live_.end() || Stale(found->second.order)) {
+      link.queue.pop_front();
+      Finish(key, core::Cause::kStale);  // or withdrawn while it waited
+      continue;
+    }
+    Number number = Pick(link, dialect_.Id(found->second.order));
+    if (number != 0) {
+      link.queue.pop_front();
+      Write(number, connections_.at(number), key, found->second);
+    } else if (link.connecting > 0 || Open(link)) {
       return;
+    } else {
+      link.queue.pop_front();
+      Finish(key, core::Cause::kConnectionLost);
     }
-    // A frame cut short must not be followed by another: the connection ends, and the others on it with it.
-    std::erase_if(connection->out, [&](const auto& one) { return one.second == key; });
-    Retire(connection);
-    if (found == live_.end()) return;
-    if (written.bytes > 0 || written.status == Io::kTimeout) return Finish(key, core::Cause::kConnectionLost);
-    found->second.progress = core::Progress::kNotConnected;
-    found->second.connection = nullptr;
   }
-  Finish(key, core::Cause::kConnectionLost);
+}
+
+// Not for anything new: idle too long, to an address that is not the holder's any more, or given up.
+bool HolderLinks::OutOfUse(const Connection& connection, const std::string& addr, Micros now) const {
+  bool idle = connection.out.empty() && now - connection.used_us > idle_limit_us_;
+  return idle || connection.addr != addr || connection.given_up;
 }
 
 // Guards the other parts out on a connection from an answer that spoils it: as long as there are connections
 // to spare, each part out has one of its own. A usable one is never left for one that is slow to come up.
-bool Link::MayOpenAnother() const {
-  return !slow_connect_ && context_.connections < kSpread * context_.limits.max_connections;
+bool HolderLinks::MayOpenAnother(const Link& link) const {
+  return !link.slow_connect && static_cast<double>(connections_.size()) < kSpread * limits_.max_connections &&
+         link.connecting < static_cast<int>(link.queue.size());
 }
 
-std::shared_ptr<Link::Connection> Link::Pick(std::unique_lock<std::mutex>& lock, const std::string& id) {
-  std::string addr = context_.directory.Find(holder_).addr;
-  Micros limit =
-      static_cast<Micros>(kIdleShare * static_cast<double>(context_.limits.idle_close_us));
-  std::shared_ptr<Connection> best;
-  for (const auto& connection : connections_) {
-    if (connection->dead) continue;
-    bool idle = connection->out.empty() && context_.clock.Now() - connection->used_us > limit;
-    if (idle || connection->addr != addr || connection->given_up) {
-      if (connection->out.empty()) Retire(connection);
+HolderLinks::Number HolderLinks::Pick(Link& link, const std::string& id) {
+  std::string addr = directory_.Find(link.holder).addr;
+  Micros now = clock_.Now();
+  Number best = 0;
+  std::size_t least = 0;
+  for (Number number : std::vector<Number>(link.connections)) {
+    Connection& connection = connections_.at(number);
+    if (!connection.up) continue;
+    if (OutOfUse(connection, addr, now)) {
+      if (connection.out.empty()) Drop(number, connection, core::Cause::kConnectionLost);
       continue;
     }
     // An earlier attempt's answer under the same id could be taken for this one's: not on one connection.
-    bool ambiguous = std::ranges::find(connection->withdrawn, id) != connection->withdrawn.end() ||
-                     std::ranges::any_of(connection->out, [&](const auto& one) { return one.first == id; });
-    if (ambiguous || static_cast<int>(connection->out.size()) >= context_.limits.streams_per_connection)
-      continue;
-    if (best == nullptr || connection->out.size() < best->out.size()) best = connection;
+    bool ambiguous = std::ranges::find(connection.withdrawn, id) != connection.withdrawn.end() ||
+                     std::ranges::any_of(connection.out, [&](const auto& one) { return one.first == id; });
+    bool full = static_cast<int>(connection.out.size()) >= limits_.streams_per_connection;
+    if (ambiguous || full || !connection.frame.empty()) continue;
+    if (best == 0 || connection.out.size() < least) best = number, least = connection.out.size();
   }
-  if (best != nullptr && (best->out.empty() || !MayOpenAnother())) return best;
-  std::shared_ptr<Connection> opened = Open(lock, addr);
-  if (opened != nullptr || best == nullptr || best->dead) return opened;
-  return best;
+  if (best != 0 && least == 0) return best;
+  if (MayOpenAnother(link)) Open(link);
+  return link.connecting > 0 && !link.slow_connect ? 0 : best;
 }
 
-std::shared_ptr<Link::Connection> Link::Open(std::unique_lock<std::mutex>& lock, const std::string& addr) {
-  if (context_.connections.fetch_add(1) >= context_.limits.max_connections) {
-    context_.connections.fetch_sub(1);
-    return nullptr;
+bool HolderLinks::Open(Link& link) {
+  if (static_cast<int>(connections_.size()) >= limits_.max_connections && !MakeRoom()) return false;
+  std::string addr = directory_.Find(link.holder).addr;
+  Fd fd = BeginConnect(addr);
+  if (!fd.Valid()) {
+    counters_.connects_failed.Add();
+    return false;
   }
-  std::size_t waiting = queue_.size();
-  lock.unlock();
-  Micros from_us = context_.clock.Now();
-  Fd fd = Connect(addr, context_.limits.connect_timeout_us);
-  lock.lock();
-  Micros took_us = context_.clock.Now() - from_us;
-  slow_connect_ = !fd.Valid() || took_us > kSlowConnect;
-  if (!fd.Valid() || stopping_) {
-    log::Info("holder at {}: no connection after {} us", addr, took_us);
-    if (connections_.empty()) FailWaiting(waiting);
-    context_.connections.fetch_sub(1);
-    context_.counters.connects_failed.Add();
-    return nullptr;
+  Number number = ++given_;
+  Connection& connection = connections_[number];
+  connection.link = &link;
+  connection.fd = std::move(fd);
+  connection.addr = addr;
+  connection.begun_us = clock_.Now();
+  connection.reader = dialect_.Reader();
+  link.connections.push_back(number);
+  ++link.connecting;
+  epoll_event event{EPOLLIN | EPOLLOUT, {}};
+  event.data.u64 = number;
+  ::epoll_ctl(epoll_.Get(), EPOLL_CTL_ADD, connection.fd.Get(), &event);
+  if (asleep_until_us_ > connection.begun_us + kSlowConnect) Wake();
+  return true;
+}
+
+// At the cap the connection that has stood idle longest makes room: it may belong to a holder seldom met.
+bool HolderLinks::MakeRoom() {
+  auto oldest = connections_.end();
+  for (auto one = connections_.begin(); one != connections_.end(); ++one) {
+    if (!one->second.up || !one->second.out.empty()) continue;
+    if (oldest == connections_.end() || one->second.used_us < oldest->second.used_us) oldest = one;
   }
-  context_.counters.connects.Add();
-  auto connection = std::make_shared<Connection>();
-  connection->fd = std::move(fd);
-  connection->addr = addr;
-  connection->used_us = context_.clock.Now();
-  connections_.push_back(connection);
-  connection->reader = Thread([this, connection] { ReadLoop(connection); });
-  return connection;
+  if (oldest == connections_.end()) return false;
+  Drop(oldest->first, oldest->second, core::Cause::kConnectionLost);
+  return true;
+}
+
+void HolderLinks::CameUp(Number number, Connection& connection) {
+  connection.up = true;
+  connection.used_us = connection.heard_us = clock_.Now();
+  --connection.link->connecting;
+  connection.link->slow_connect = connection.used_us - connection.begun_us > kSlowConnect;
+  counters_.connects.Add();
+  Arm(number, connection, false);
 }
 
-// Guards against waits that add up: what stood in the queue when a connection that did not come up was begun has
-// waited as long for it, and is not made to wait for another.
-void Link::FailWaiting(std::size_t waiting) {
-  for (; waiting > 0 && !queue_.empty(); --waiting) {
-    core::AttemptKey key = queue_.front();
-    queue_.pop_front();
-    Finish(key, core::Cause::kConnectionLost);
+// Guards against waits that add up: what stood in the queue when a connection that did not come up was begun
+// has waited as long for it, and is not made to wait for another.
+void HolderLinks::ConnectFailed(Number number, Connection& connection) {
+  Link& link = *connection.link;
+  Micros begun_us = connection.begun_us;
+  log::Info("holder at {}: no connection after {} us", connection.addr, clock_.Now() - begun_us);
+  counters_.connects_failed.Add();
+  link.slow_connect = true;
+  Drop(number, connection, core::Cause::kConnectionLost);
+  if (static_cast<int>(link.connections.size()) > link.connecting) return;
+  for (core::AttemptKey key : std::exchange(link.queue, {})) {
+    auto found = live_.find(key);
+    if (found != live_.end() && found->second.queued_us > begun_us) {
+      link.queue.push_back(key);
+    } else {
+      Finish(key, core::Cause::kConnectionLost);
+    }
   }
 }
 
-void Link::ReadLoop(const std::shared_ptr<Connection>& connection) {
-  std::unique_ptr<AnswerReader> reader = context_.dialect.Reader();
-  std::string pending;
+void HolderLinks::Arm(Number number, Connection& connection, bool writes) {
+  connection.armed = writes;
+  epoll_event event{EPOLLIN | (writes ? EPOLLOUT : 0u), {}};
+  event.data.u64 = number;
+  ::epoll_ctl(epoll_.Get(), EPOLL_CTL_MOD, connection.fd.Get(), &event);
+}
+
+// Ends it and all that is out on it.
+void HolderLinks::Drop(Number number, Connection& connection, core::Cause cause) {
+  Link& link = *connection.link;
+  link.connecting -= connection.up ? 0 : 1;
+  std::erase(link.connections, number);
+  auto out = std::move(connection.out);
+  connections_.erase(number);  // closes its descriptor, which takes it out of the poll
+  for (const auto& [id, key] : out) Finish(key, cause);
+}
+
+// ---- frames out ----
+
+// Looked at before the first byte only: a holder that drains, a client that gave up, a time that is over.
+bool HolderLinks::Stale(const core::AttemptOrder& order) const {
+  Micros now = clock_.Now();
+  core::HolderAddress holder = directory_.Find(order.holder);
+  bool stopped = holder.id.empty() || (holder.stop_sending_us > 0 && now >= holder.stop_sending_us);
+  return stopped || now >= order.wait_until_us;
+}
+
+void HolderLinks::Write(Number number, Connection& connection, const core::AttemptKey& key,
+                        Attempt& attempt) {
+  Micros now = clock_.Now();
+  connection.frame = dialect_.Ask(attempt.order, connection.addr, attempt.order.wait_until_us - now);
+  connection.written = 0;
+  connection.writing = key;
+  connection.write_until_us = now + kWriteWait;
+  connection.used_us = now;
+  connection.out.emplace_back(dialect_.Id(attempt.order), key);
+  attempt.progress = core::Progress::kPartlyWritten;
+  attempt.connection = number;
+  Flush(number, connection);
+}
+
+bool HolderLinks::Flush(Number number, Connection& connection) {
+  while (!connection.frame.empty() || !connection.control.empty()) {
+    if (connection.frame.empty()) {
+      connection.frame = std::move(connection.control.front());
+      connection.control.pop_front();
+      connection.written = 0;
+      connection.write_until_us = clock_.Now() + kWriteWait;
+    }
+    std::size_t sent = 0;
+    Io got = WriteNow(connection.fd, std::string_view(connection.frame).substr(connection.written), sent);
+    connection.written += sent;
+    if (got == Io::kError) return Broken(number, connection);
+    if (got == Io::kTimeout) {
+      if (!connection.armed) Arm(number, connection, true);
+      return true;
+    }
+    if (connection.written < connection.frame.size()) continue;
+    connection.frame.clear();
+    if (!connection.writing) continue;
+    auto found = live_.find(*connection.writing);
+    if (found != live_.end()) found->second.progress = core::Progress::kWhollyWritten;
+    connection.writing.reset();
+  }
+  if (connection.armed) Arm(number, connection, false);
+  return true;
+}
+
+// It took no more. One that turns out broken before an attempt's first byte has told nobody anything of it:
+// that goes to another. Answers that came before the end still count; a frame cut short ends with the
+// connection.
+bool HolderLinks::Broken(Number number, Connection& connection) {
+  auto found = connection.writing ? live_.find(*connection.writing) : live_.end();
+  if (found != live_.end() && connection.written == 0 && ++found->second.turns < kTurns) {
+    std::erase_if(connection.out, [&](const auto& one) { return one.second == found->first; });
+    found->second.progress = core::Progress::kNotConnected;
+    found->second.connection = 0;
+    connection.link->queue.push_front(found->first);
+  }
+  connection.frame.clear();
+  connection.control.clear();
+  connection.writing.reset();
+  if (Receive(number, connection)) Drop(number, connection, core::Cause::kConnectionLost);
+  return false;
+}
+
+// ---- answers in ----
+
+bool HolderLinks::Receive(Number number, Connection& connection) {
   std::vector<HolderAnswer> answers;
-  Micros limit =
-      static_cast<Micros>(kIdleShare * static_cast<double>(context_.limits.idle_close_us));
-  Micros heard_us = context_.clock.Now();
-  core::Cause cause = core::Cause::kConnectionLost;
-  bool going = true;
-  while (going) {
-    Io got = ReadSome(connection->fd, pending, pending.empty() ? kSlice : kStall);
-    std::lock_guard lock(mutex_);
-    std::string oldest = connection->out.empty() ? std::string() : connection->out.front().first;
+  Io got = Io::kOk;
+  // One that never stops sending must not keep the others waiting: the poll comes back to it.
+  for (int turn = 0; got == Io::kOk; ++turn) {
+    if (turn == kReadsAtOnce) return true;
+    got = ReadNow(connection.fd, connection.pending);
+    if (got == Io::kTimeout) return true;
+    std::string oldest = connection.out.empty() ? std::string() : connection.out.front().first;
     answers.clear();
     bool usable = true;
     try {
-      if (got == Io::kOk) usable = reader->Take(pending, oldest, answers) && pending.size() <= kMaxPending;
-      if (got == Io::kEnd) reader->End(oldest, answers);
+      if (got == Io::kOk)
+        usable = connection.reader->Take(connection.pending, oldest, answers) &&
+                 connection.pending.size() <= kMaxPending;
+      if (got == Io::kEnd) connection.reader->End(oldest, answers);
     } catch (const std::exception& error) {
       log::Error("holder connection: {}", error.what());
       usable = false;
     }
-    Micros now = context_.clock.Now();
-    if (got == Io::kOk) heard_us = now;
-    // Guards against spoilt answers: once something came that cannot be used, was asked by nobody, or does not
-    // go on, nothing after it on this connection can be trusted, and all that is out there may have run.
-    for (HolderAnswer& answer : answers) usable = TakeAnswer(*connection, std::move(answer)) && usable;
-    usable = usable && (pending.empty() || now - heard_us < kStall);
+    if (got == Io::kOk) connection.heard_us = clock_.Now();
+    // Guards against spoilt answers: once something came that cannot be used, was asked by nobody, or does
+    // not go on, nothing after it on this connection can be trusted, and all that is out there may have run.
+    for (HolderAnswer& answer : answers) usable = TakeAnswer(connection, std::move(answer)) && usable;
     if (!usable) {
-      cause = core::Cause::kSpoilt;
-      context_.counters.spoilt.Add();
-      going = false;
+      counters_.spoilt.Add();
+      Drop(number, connection, core::Cause::kSpoilt);
+      return false;
     }
-    if (got == Io::kEnd || got == Io::kError) going = false;
-    bool idle = connection->out.empty() && now - connection->used_us > limit;
-    if (idle || (connection->dead && connection->out.empty())) going = false;
   }
-  std::lock_guard lock(mutex_);
-  Lost(connection, cause);
+  Drop(number, connection, core::Cause::kConnectionLost);
+  return false;
 }
 
 // False when it answers nothing that was asked on this connection.
-bool Link::TakeAnswer(Connection& connection, HolderAnswer answer) {
-  connection.used_us = context_.clock.Now();
+bool HolderLinks::TakeAnswer(Connection& connection, HolderAnswer answer) {
+  connection.used_us = clock_.Now();
   auto found = std::ranges::find(connection.out, answer.id, &std::pair<std::string, core::AttemptKey>::first);
   if (found == connection.out.end()) return std::erase(connection.withdrawn, answer.id) > 0;
   core::AttemptKey key = found->second;
@@ -304,76 +465,13 @@
   return true;
 }
 
-// Ends all that is out on it, but what the writer is at: only the writer knows whether the last byte went.
-void Link::Lost(const std::shared_ptr<Connection>& connection, core::Cause cause) {
-  connection->ended_by = cause;
-  Retire(connection);
-  context_.connections.fetch_sub(1);
-  auto out = std::exchange(connection->out, {});
-  for (const auto& [id, key] : out) {
-    auto attempt = live_.find(key);
-    if (attempt != live_.end() && attempt->second.progress != core::Progress::kPartlyWritten)
-      Finish(key, cause);
-  }
-  wake_.notify_one();
-}
-
-HolderLinks::HolderLinks(const Dialect& dialect, const core::HolderDirectory& directory,
-                         const core::Clock& clock, const LinkLimits& limits, metrics::Counters& counters,
-                         ResultSink sink)
-    : context_{dialect, directory, clock, limits, counters, std::move(sink)},
-      burier_([this] { BuryLoop(); }) {}
-
-HolderLinks::~HolderLinks() {
-  {
-    std::lock_guard lock(mutex_);
-    stopping_ = true;
-    wake_.notify_one();
-  }
-  burier_.Join();
-}
-
-void HolderLinks::Start(core::AttemptOrder order) {
-  auto& link = links_[order.holder];
-  if (link == nullptr) link = std::make_unique<Link>(context_, order.holder);
-  link->Start(std::move(order));
-}
-
-// Guards a long day, in which holders are replaced for ever, against a writer and connections for each of them.
-void HolderLinks::ForgetGone() {
-  std::lock_guard lock(mutex_);
-  for (auto one = links_.begin(); one != links_.end();) {
-    auto next = std::next(one);
-    core::HolderAddress holder = context_.directory.Find(one->first);
-    if ((holder.id.empty() || holder.stop_sending_us > 0) && one->second->Unused()) {
-      gone_.push_back(std::move(one->second));
-      links_.erase(one);
-      wake_.notify_one();
-    }
-    one = next;
-  }
-}
-
-// A link's end waits for its threads, which may be at a socket: not on the core's thread.
-void HolderLinks::BuryLoop() {
-  std::unique_lock lock(mutex_);
-  while (!stopping_) {
-    if (gone_.empty()) wake_.wait(lock);
-    auto buried = std::exchange(gone_, {});
-    lock.unlock();
-    buried.clear();
-    lock.lock();
-  }
-}
-
-void HolderLinks::Withdraw(const core::AttemptKey& key, const core::ReplicaId& holder, core::Cause cause) {
-  auto link = links_.find(holder);
-  if (link != links_.end()) link->second->Withdraw(key, cause);
-}
-
-void HolderLinks::CloseIdle(const core::ReplicaId& holder) {
-  auto link = links_.find(holder);
-  if (link != links_.end()) link->second->CloseIdle();
+void HolderLinks::Finish(const core::AttemptKey& key, core::Cause cause, HolderAnswer answer) {
+  auto found = live_.find(key);
+  if (found == live_.end()) return;
+  core::AttemptResult result{key, found->second.progress, cause, std::move(answer.load),
+                             std::move(answer.value)};
+  live_.erase(found);
+  sink_(std::move(result));
 }
 
 }  // namespace liftrudder::net
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -1,18 +1,19 @@
-// One link a holder: a queue, a writer that stalls nobody else's, and its connections. What a link speaks on
-// them is a Dialect's business.
+// The links to holders: for each one a queue and its connections. No call waits for a socket, so one thread
+// of their own (reading, connections that come up, bounds in time) and the caller's (writing) do for all of
+// them, however many holders there are. What is spoken on a connection is a Dialect's business.
 #ifndef LIFTRUDDER_NET_HOLDER_LINKS_H_
 #define LIFTRUDDER_NET_HOLDER_LINKS_H_
 
-#include <atomic>
-#include <condition_variable>
+#include <cstdint>
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/ports.h"
@@ -44,7 +45,8 @@
  public:
   virtual ~Dialect() = default;
   virtual std::string Id(const core::AttemptOrder& order) const = 0;
-  virtual std::string Ask(const core::AttemptOrder& order, const std::string& holder, Micros wait_us) const = 0;
+  virtual std::string Ask(const core::AttemptOrder& order, const std::string& holder,
+                          Micros wait_us) const = 0;
   // What gives up an attempt; empty: only closing its connection does.
   virtual std::string GiveUp(const std::string& id) const = 0;
   virtual std::unique_ptr<AnswerReader> Reader() const = 0;
@@ -59,94 +61,99 @@
 
 using ResultSink = std::function<void(core::AttemptResult)>;
 
-// What the links of one transport share.
-struct LinkContext {
-  const Dialect& dialect;
-  const core::HolderDirectory& directory;
-  const core::Clock& clock;
-  const LinkLimits limits;
-  metrics::Counters& counters;
-  const ResultSink sink;
-  std::atomic<int> connections{0};
-};
-
-class Link {
+// The core's transport over links. All state is under one lock; it is never held while something is waited
+// for.
+class HolderLinks : public core::HolderTransport {
  public:
-  Link(LinkContext& context, core::ReplicaId holder);
-  ~Link();
+  HolderLinks(const Dialect& dialect, const core::HolderDirectory& directory, const core::Clock& clock,
+              const LinkLimits& limits, metrics::Counters& counters, ResultSink sink);
+  ~HolderLinks();
 
-  void Start(core::AttemptOrder order);
-  void Withdraw(const core::AttemptKey& key, core::Cause cause);
-  void CloseIdle();
-  bool Unused();
+  void Start(core::AttemptOrder order) override;
+  void Withdraw(const core::AttemptKey& key, const core::ReplicaId& holder, core::Cause cause) override;
+  void CloseIdle(const core::ReplicaId& holder) override;
+  void ForgetGone() override;
 
  private:
+  using Number = std::uint64_t;  // a connection's; never given twice, so that late events find nothing
+
+  struct Link {
+    core::ReplicaId holder;
+    std::deque<core::AttemptKey> queue;  // not on a connection yet
+    std::vector<Number> connections;
+    int connecting = 0;         // of these, not up yet
+    bool slow_connect = false;  // the newest connection took long to come up, or did not
+  };
   struct Connection {
+    Link* link = nullptr;
     Fd fd;
     std::string addr;
+    bool up = false;
+    Micros begun_us = 0;  // when its connecting began
     Micros used_us = 0;
-    bool dead = false;  // nothing new goes on it
-    core::Cause ended_by = core::Cause::kConnectionLost;
+    Micros heard_us = 0;
     std::deque<std::pair<std::string, core::AttemptKey>> out;
     std::deque<std::string> withdrawn;  // ids given up on it whose answers may still come
     bool given_up = false;              // too many of those: it takes nothing new
-    Thread reader;
+    std::unique_ptr<AnswerReader> reader;
+    std::string pending;  // read, and not a whole answer yet
+    // What is being written, of which attempt, and until when; then frames that give attempts up.
+    std::string frame;
+    std::size_t written = 0;
+    std::optional<core::AttemptKey> writing;
+    Micros write_until_us = 0;
+    std::deque<std::string> control;
+    bool armed = false;  // told when it can be written again
   };
   struct Attempt {
     core::AttemptOrder order;
     core::Progress progress = core::Progress::kNotConnected;
-    std::shared_ptr<Connection> connection;
+    Number connection = 0;
+    Micros queued_us = 0;
+    int turns = 0;  // connections that broke before its first byte
   };
 
-  void WriteLoop();
-  void ReadLoop(const std::shared_ptr<Connection>& connection);
-  void WriteOne(std::unique_lock<std::mutex>& lock, const core::AttemptKey& key);
-  void WriteGivenUp(std::unique_lock<std::mutex>& lock);
-  std::shared_ptr<Connection> Pick(std::unique_lock<std::mutex>& lock, const std::string& id);
-  std::shared_ptr<Connection> Open(std::unique_lock<std::mutex>& lock, const std::string& addr);
-  bool MayOpenAnother() const;
-  void FailWaiting(std::size_t waiting);
+  // The links' own thread.
+  void Loop();
+  void Handle(Number number, bool writable);
+  Micros Sweep(Micros now);
+  void Wake();
+
+  // These hold the lock. Those that return a bool say whether the connection is still there.
+  void Pump(Link& link);
+  Number Pick(Link& link, const std::string& id);
+  bool MayOpenAnother(const Link& link) const;
+  bool Open(Link& link);
+  bool MakeRoom();
+  void CameUp(Number number, Connection& connection);
+  void ConnectFailed(Number number, Connection& connection);
+  void Write(Number number, Connection& connection, const core::AttemptKey& key, Attempt& attempt);
+  bool Flush(Number number, Connection& connection);
+  bool Broken(Number number, Connection& connection);
+  bool Receive(Number number, Connection& connection);
+  bool TakeAnswer(Connection& connection, HolderAnswer answer);
+  void Drop(Number number, Connection& connection, core::Cause cause);
+  void Arm(Number number, Connection& connection, bool writes);
   bool Stale(const core::AttemptOrder& order) const;
+  bool OutOfUse(const Connection& connection, const std::string& addr, Micros now) const;
   void Finish(const core::AttemptKey& key, core::Cause cause, HolderAnswer answer = {});
-  void Retire(const std::shared_ptr<Connection>& connection);
-  bool TakeAnswer(Connection& connection, HolderAnswer answer);
-  void Lost(const std::shared_ptr<Connection>& connection, core::Cause cause);
 
-  LinkContext& context_;
-  const core::ReplicaId holder_;
+  const Dialect& dialect_;
+  const core::HolderDirectory& directory_;
+  const core::Clock& clock_;
+  const LinkLimits limits_;
+  const Micros idle_limit_us_;
+  metrics::Counters& counters_;
+  const ResultSink sink_;
   std::mutex mutex_;
-  std::condition_variable wake_;
   bool stopping_ = false;
-  std::deque<core::AttemptKey> queue_;
-  std::deque<std::pair<std::shared_ptr<Connection>, std::string>> given_up_;
+  Micros asleep_until_us_ = 0;  // the thread's, while it waits
+  std::map<core::ReplicaId, Link> links_;
+  std::unordered_map<Number, Connection> connections_;  // bounded by limits_.max_connections
+  Number given_ = 0;
   std::map<core::AttemptKey, Attempt> live_;  // whoever takes an attempt out of here tells its end
-  std::list<std::shared_ptr<Connection>> connections_;
-  bool slow_connect_ = false;  // the newest connection took long to come up, or did not
-  Thread writer_;
-};
-
-// The core's transport over links.
-class HolderLinks : public core::HolderTransport {
- public:
-  HolderLinks(const Dialect& dialect, const core::HolderDirectory& directory, const core::Clock& clock,
-              const LinkLimits& limits, metrics::Counters& counters, ResultSink sink);
-  ~HolderLinks();
-
-  void Start(core::AttemptOrder order) override;
-  void Withdraw(const core::AttemptKey& key, const core::ReplicaId& holder, core::Cause cause) override;
-  void CloseIdle(const core::ReplicaId& holder) override;
-  void ForgetGone() override;
-
- private:
-  void BuryLoop();
-
-  LinkContext context_;
-  std::map<core::ReplicaId, std::unique_ptr<Link>> links_;  // the core's thread alone
-  std::mutex mutex_;
-  std::condition_variable wake_;
-  bool stopping_ = false;
-  std::vector<std::unique_ptr<Link>> gone_;  // to be ended; that waits for their threads
-  Thread burier_;
+  Fd epoll_, waker_;
+  Thread thread_;
 };
 
 }  // namespace liftrudder::net
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -93,22 +93,30 @@
 SteadyClock::SteadyClock() : offset_us_(ReadClock(CLOCK_REALTIME) - ReadClock(CLOCK_MONOTONIC)) {}
 Micros SteadyClock::Now() const { return ReadClock(CLOCK_MONOTONIC) + offset_us_; }
 
-Fd Connect(const std::string& address, Micros wait_us) {
+Fd BeginConnect(const std::string& address) {
   auto to = Parse(address);
   if (!to) return Fd();
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   if (!fd.Valid()) return fd;
+  if (::connect(fd.Get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0 && errno != EINPROGRESS)
+    return Fd();
+  int on = 1;
+  setsockopt(fd.Get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  return fd;
+}
+
+int ConnectError(const Fd& fd) {
+  int error = 0;
+  socklen_t size = sizeof error;
+  return getsockopt(fd.Get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 ? errno : error;
+}
+
+Fd Connect(const std::string& address, Micros wait_us) {
   Micros until = Until(wait_us);
-  if (::connect(fd.Get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0) {
-    if (errno != EINPROGRESS || Wait(fd.Get(), POLLOUT, until) == 0) return Fd();
-    int error = 0;
-    socklen_t size = sizeof error;
-    if (getsockopt(fd.Get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0) return Fd();
-  }
+  Fd fd = BeginConnect(address);
+  if (!fd.Valid() || Wait(fd.Get(), POLLOUT, until) == 0 || ConnectError(fd) != 0) return Fd();
   int flags = fcntl(fd.Get(), F_GETFL);
   fcntl(fd.Get(), F_SETFL, flags & ~O_NONBLOCK);
-  int on = 1;
-  setsockopt(fd.Get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   return fd;
 }
 
@@ -141,37 +149,47 @@
   return fd;
 }
 
+Io WriteNow(const Fd& fd, std::string_view bytes, std::size_t& written) {
+  while (true) {
+    ssize_t sent = ::send(fd.Get(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    written = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    if (sent > 0) return Io::kOk;
+    if (sent < 0 && errno == EINTR) continue;
+    return sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Io::kTimeout : Io::kError;
+  }
+}
+
 Written WriteAll(const Fd& fd, std::string_view bytes, Micros wait_us) {
   Written out;
   Micros until = Until(wait_us);
   while (out.bytes < bytes.size()) {
-    ssize_t sent =
-        ::send(fd.Get(), bytes.data() + out.bytes, bytes.size() - out.bytes, MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (sent > 0) {
-      out.bytes += static_cast<std::size_t>(sent);
-    } else if (sent < 0 && errno == EINTR) {
-      continue;
-    } else if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
-      if (Wait(fd.Get(), POLLOUT, until) == 0) return {Io::kTimeout, out.bytes};
-    } else {
-      return {Io::kError, out.bytes};
-    }
+    std::size_t sent = 0;
+    Io got = WriteNow(fd, bytes.substr(out.bytes), sent);
+    out.bytes += sent;
+    if (got == Io::kError) return {Io::kError, out.bytes};
+    if (got == Io::kTimeout && Wait(fd.Get(), POLLOUT, until) == 0) return {Io::kTimeout, out.bytes};
   }
   return out;
 }
 
-Io ReadSome(const Fd& fd, std::string& out, Micros wait_us) {
-  Micros until = Until(wait_us);
+Io ReadNow(const Fd& fd, std::string& out) {
   char buffer[8192];
   while (true) {
-    if (Wait(fd.Get(), POLLIN, until) == 0) return Io::kTimeout;
     ssize_t got = ::recv(fd.Get(), buffer, sizeof buffer, MSG_DONTWAIT);
-    if (got > 0) {
-      out.append(buffer, static_cast<std::size_t>(got));
-      return Io::kOk;
-    }
+    if (got > 0) out.append(buffer, static_cast<std::size_t>(got));
+    if (got > 0) return Io::kOk;
     if (got == 0) return Io::kEnd;
-    if (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK) return Io::kError;
+    if (errno == EAGAIN || errno == EWOULDBLOCK) return Io::kTimeout;
+    if (errno != EINTR) return Io::kError;
+  }
+}
+
+Io ReadSome(const Fd& fd, std::string& out, Micros wait_us) {
+  Micros until = Until(wait_us);
+  while (true) {
+    if (Wait(fd.Get(), POLLIN, until) == 0) return Io::kTimeout;
+    Io got = ReadNow(fd, out);
+    if (got != Io::kTimeout) return got;
   }
 }
 
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -49,6 +49,9 @@
 
 // `address` is HOST:PORT in numbers. Waits at most so long for the connection.
 Fd Connect(const std::string& address, Micros wait_us);
+// The same without waiting: it is up, or has failed, when it can be written; `ConnectError` says which.
+Fd BeginConnect(const std::string& address);
+int ConnectError(const Fd& fd);
 Fd Listen(const std::string& address);
 std::string LocalAddress(const Fd& fd);
 Fd Accept(const Fd& listener, Micros wait_us);
@@ -56,6 +59,9 @@
 Written WriteAll(const Fd& fd, std::string_view bytes, Micros wait_us);
 // Appends what is there to `out`; waits at most so long for the first byte.
 Io ReadSome(const Fd& fd, std::string& out, Micros wait_us);
+// The same two without waiting: kTimeout when nothing can be moved now.
+Io WriteNow(const Fd& fd, std::string_view bytes, std::size_t& written);
+Io ReadNow(const Fd& fd, std::string& out);
 // Whether there is something to read or an end to see; waits at most so long.
 bool Readable(int fd, Micros wait_us);
 void ShutDown(const Fd& fd);
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -1,10 +1,14 @@
 // Small tests of parts that need no program and no socket.
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
+#include <condition_variable>
+#include <filesystem>
+#include <mutex>
 
 #include "core/book.h"
 #include "core/directory.h"
 #include "dns/update.h"
+#include "net/holder_links.h"
 #include "net/http.h"
 #include "net/json.h"
 #include "opensearch/merge.h"
@@ -81,6 +85,57 @@
   CHECK(directory.Apply({4, tinsail::ListKind::kDelta, {a}}, 60'000'002)->replicas[0].id != id);
 }
 
+// A hundred gatherers with a thread for each holder and one for each connection ran into the system's limit
+// on threads, and no attempt started after that ended.
+TEST_CASE("links to many holders take one thread in all, and each attempt ends once") {
+  constexpr int kHolders = 60;
+  auto threads = [] { return std::distance(std::filesystem::directory_iterator("/proc/self/task"), {}); };
+  tinsail::Settings settings;
+  core::Directory directory(settings);
+  core::HolderList list{1, tinsail::ListKind::kFull, {}};
+  std::vector<net::Fd> listeners;
+  for (int i = 0; i < kHolders; ++i) {
+    listeners.push_back(net::Listen("127.0.0.1:0"));
+    list.entries.push_back({"h" + std::to_string(i), net::LocalAddress(listeners.back()), {}});
+  }
+  auto news = directory.Apply(list, 1);
+  net::SteadyClock clock;
+  metrics::Counters counters;
+  const std::vector<std::string> load_names;
+  platform::FrameDialect dialect(load_names);
+  std::mutex mutex;
+  std::condition_variable wake;
+  std::vector<core::AttemptResult> results;
+  auto before = threads();
+  {
+    net::HolderLinks links(dialect, directory, clock, {}, counters, [&](core::AttemptResult result) {
+      std::lock_guard lock(mutex);
+      results.push_back(std::move(result));
+      wake.notify_one();
+    });
+    for (int i = 0; i < kHolders; ++i) {
+      core::AttemptOrder order;
+      order.key = {static_cast<core::Id>(i + 1), 0};
+      order.holder = news->replicas[static_cast<std::size_t>(i)].id;
+      order.wait_until_us = clock.Now() + 60'000'000;
+      order.payload = std::make_shared<core::Payload>(core::Payload{"q", "", "text", ""});
+      links.Start(std::move(order));
+    }
+    std::vector<net::Fd> connections;
+    for (net::Fd& listener : listeners) {
+      connections.push_back(net::Accept(listener, 10'000'000));
+      std::string got;
+      REQUIRE(net::ReadSome(connections.back(), got, 10'000'000) == net::Io::kOk);
+    }
+    CHECK(threads() - before <= 1);
+    connections.pop_back();  // the last holder's connection ends after its frame came
+    std::unique_lock lock(mutex);
+    wake.wait(lock, [&] { return !results.empty(); });
+    CHECK(core::OutcomeOf(results[0].progress, results[0].cause) == OutcomeCode::kReset);
+  }
+  CHECK(results.size() == kHolders);
+}
+
 TEST_CASE("a load report that cannot be read says nothing") {
   platform::FrameDialect dialect({"q", "rif"});
   auto load = [&dialect](const std::string& report) {
@@ -91,23 +146,24 @@
     return out.at(0).load;
   };
   CHECK(load("queue=3,inflight=2,other=1") == std::vector<double>{3, 2});
-  for (const char* bad : {"-", "", "queue=3", "queue=x,inflight=2", "queue=3,inflight=", "queue=-1,inflight=2",
-                          "queue=3,inflight=2,", "queue=nan,inflight=2", "\x01\xff"}) {
+  for (const char* bad : {"-", "", "queue=3", "queue=x,inflight=2", "queue=3,inflight=",
+                          "queue=-1,inflight=2", "queue=3,inflight=2,", "queue=nan,inflight=2", "\x01\xff"}) {
     INFO(bad);
     CHECK(load(bad).empty());
   }
 }
 
 TEST_CASE("HTTP is read whole however it is cut, and strictly") {
-  std::string text = "POST /x?a=1&b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e\r\nde\r\n0\r\n\r\n";
+  std::string text =
+      "POST /x?a=1&b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e\r\nde\r\n0\r\n\r\n";
   HttpParser parser(HttpParser::Kind::kRequest);
   std::string in;
   for (char c : text) parser.Feed(in += c);
   CHECK(parser.Feed(in) == HttpParser::State::kDone);
   CHECK(parser.message().body == "abcde");
   CHECK(parser.message().Parameter("a") == "1");
-  for (std::string bad : {"GET  / HTTP/1.1\r\n\r\n", "GET / HTTP/2\r\n\r\n", "GET / HTTP/1.1\r\nA : b\r\n\r\n",
-                          "GET / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+  for (std::string bad : {"GET  / HTTP/1.1\r\n\r\n", "GET / HTTP/2\r\n\r\n",
+                          "GET / HTTP/1.1\r\nA : b\r\n\r\n", "GET / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
                           "GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
                           "GET / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n"}) {
     INFO(bad);
@@ -121,7 +177,8 @@
   CHECK(net::json::Get(R"( {"a" : [1, {"b":"}"}], "c":-1.5e3} )", "a") == R"([1, {"b":"}"}])");
   CHECK(net::json::Number(net::json::Get(R"({"c":-1.5e3})", "c")) == -1500);
   CHECK(net::json::String(R"("\u00e9\ud83d\ude00\n")") == "\xc3\xa9\xf0\x9f\x98\x80\n");
-  for (const char* bad : {"{\"a\":1,}", "[1 2]", "01", "\"\\x\"", "{\"a\" 1}", "tru", "\"a", "[", "1.", "{} x"}) {
+  for (const char* bad :
+       {"{\"a\":1,}", "[1 2]", "01", "\"\\x\"", "{\"a\" 1}", "tru", "\"a", "[", "1.", "{} x"}) {
     INFO(bad);
     CHECK_FALSE(net::json::Valid(bad));
   }
@@ -173,7 +230,7 @@
   CHECK_THROWS(dns::ParseZone("a A 127.0.0.1\n"));
   CHECK_THROWS(dns::ParseZone("$ORIGIN z.\n@ SOA ns root ( 1 2 3 4 5\n"));
   std::string head("\0\1\x28\0\0\1\0\0\0\2\0\0\1z\0\0\6\0\1", 19);
-  std::string gone("\1a\xc0\x0c\0\xff\0\xff\0\0\0\0\0\0", 14);   // all of a.z., its zone's name compressed
+  std::string gone("\1a\xc0\x0c\0\xff\0\xff\0\0\0\0\0\0", 14);  // all of a.z., its zone's name compressed
   std::string outside("\1q\0\0\xff\0\xff\0\0\0\0\0\0", 13);
   auto rcode = [&zone](const std::string& message) { return dns::ApplyUpdate(message, zone).at(3); };
   CHECK(rcode(head + gone + outside) == 10);
