The watch on discovery waits with full jitter and back-off, in proportion to the group

All call at once at the start, discovery serves a few a second and turns away what has waited 2 s; then each asks again after 100 ms for ever, and it drowns in the asking. Ruled out: silence of the watch (3 s) and lost lines.

Lines at fault: src/platform/discovery.cpp, kPause = 100 ms in Loop, and no wait before the first call.

Change: src/limits/backoff, a deciding part without I/O: full jitter under a bound that doubles to a cap, reset by a success. Bounds are a slice of time for each gatherer of the group (50 ms first, 200 ms at most, 30 ms before the first call), never over an eighth and a half of `askWithinUs`. A new address by SIGHUP starts afresh. The log says a loss once and its end once. Also, in the module: a connection unused for no longer than one proven to live is not taken for dead when its holder is silent, so nothing is cancelled for that (src/rules.cpp, JudgeSilence).

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -1,7 +1,7 @@
 #include "platform/discovery.h"
 
-#include <time.h>
-
+#include <algorithm>
+#include <chrono>
 #include <exception>
 
 #include "log/log.h"
@@ -14,7 +14,23 @@
 // The watch beats every 2 s; what it had to tell counts as told 6 s later, so a silent one is left soon.
 constexpr core::Micros kSilence = 3'000'000;
 constexpr core::Micros kSlice = 200'000;
-constexpr core::Micros kPause = 100'000;
+// Discovery is one service for the whole group and turns away what has waited too long. Asked again by all at
+// once it drowns in the asking and tells nobody anything. So the waits grow with the group: for each gatherer
+// of it a slice of time after the first failure and a larger one at most, both bounded by shares of the time
+// within which the settings want it asked, and a slice before the first call of all.
+constexpr core::Micros kFirstSlice = 50'000;
+constexpr core::Micros kMostSlice = 200'000;
+constexpr core::Micros kStartSlice = 30'000;
+constexpr double kFirstShare = 1.0 / 8;
+constexpr double kMostShare = 1.0 / 2;
+constexpr double kStartShare = 0.3;
+constexpr core::Micros kAskWithin = 10'000'000;  // where the settings say nothing
+
+core::Micros Span(const tinsail::Settings& settings, core::Micros slice, double share) {
+  core::Micros within = settings.ask_within_us > 0 ? settings.ask_within_us : kAskWithin;
+  return std::min(slice * settings.group_size,
+                  static_cast<core::Micros>(share * static_cast<double>(within)));
+}
 
 }  // namespace
 
@@ -24,17 +40,30 @@
       directory_(directory),
       core_(core),
       clock_(clock),
+      backoff_(Span(config.settings, kFirstSlice, kFirstShare), Span(config.settings, kMostSlice, kMostShare),
+               config.seed),
       address_(config.discovery),
       thread_([this] { Loop(); }) {}
 
 DiscoveryWatch::~DiscoveryWatch() {
-  stopping_ = true;
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+    wake_.notify_one();
+  }
   thread_.Join();
 }
 
 void DiscoveryWatch::Move(const std::string& address) {
   std::lock_guard lock(mutex_);
   address_ = address;
+  wake_.notify_one();
+}
+
+// Cut short by the end, and by a new address: that one has turned nobody away yet.
+void DiscoveryWatch::Pause(core::Micros span, const std::string& address) {
+  std::unique_lock lock(mutex_);
+  wake_.wait_for(lock, std::chrono::microseconds(span), [&] { return stopping_ || address_ != address; });
 }
 
 std::string DiscoveryWatch::Address() const {
@@ -43,24 +72,32 @@
 }
 
 void DiscoveryWatch::Loop() {
+  std::string address = Address();
+  Pause(backoff_.Within(Span(config_.settings, kStartSlice, kStartShare)), address);
   while (!stopping_) {
+    address = Address();
+    std::string why = "it ended";
     try {
-      Watch();
+      Watch(address);
     } catch (const std::exception& error) {
-      log::Error("discovery: {}", error.what());
+      why = error.what();
+    }
+    if (stopping_ || Address() != address) {
+      backoff_.Reset();
+      continue;
     }
-    timespec pause{0, kPause * 1000};
-    nanosleep(&pause, nullptr);
+    // Said once, not at each try.
+    if (backoff_.failures() == 0) log::Info("discovery: the watch at {} is lost: {}", address, why);
+    Pause(backoff_.Next(), address);
   }
 }
 
-void DiscoveryWatch::Watch() {
-  std::string address = Address();
+void DiscoveryWatch::Watch(const std::string& address) {
   net::Fd fd = net::Connect(address, kConnectWait);
-  if (!fd.Valid()) return;
+  if (!fd.Valid()) throw std::runtime_error("no connection");
   std::string ask = fmt::format("GET /api/targets?watch=1&from={} HTTP/1.1\r\nHost: {}\r\n\r\n",
                                 directory_.Version(), address);
-  if (net::WriteAll(fd, ask, kConnectWait).status != net::Io::kOk) return;
+  if (net::WriteAll(fd, ask, kConnectWait).status != net::Io::kOk) throw std::runtime_error("cannot ask");
   net::HttpParser parser(net::HttpParser::Kind::kResponse);
   std::string pending;
   core::Micros heard_us = clock_.Now();
@@ -77,12 +114,19 @@
     std::size_t end = 0;
     while ((end = message.body.find('\n')) != std::string::npos) {
       TakeLine(std::string_view(message.body).substr(0, end));
+      Answered(address);
       message.body.erase(0, end + 1);
     }
     if (state == net::HttpParser::State::kDone) return;
   }
 }
 
+void DiscoveryWatch::Answered(const std::string& address) {
+  if (backoff_.failures() > 0)
+    log::Info("discovery: watching at {} again after {} failures", address, backoff_.failures());
+  backoff_.Reset();
+}
+
 void DiscoveryWatch::TakeLine(std::string_view line) {
   if (line.find_first_not_of(" \r") == std::string_view::npos) return;
   core::HolderList list = config::ParseHolders(line, config_);
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -3,12 +3,14 @@
 #define LIFTRUDDER_PLATFORM_DISCOVERY_H_
 
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
 #include <string>
 
 #include "config/config.h"
 #include "core/core.h"
 #include "core/directory.h"
+#include "limits/backoff.h"
 #include "net/socket.h"
 
 namespace liftrudder::platform {
@@ -24,7 +26,9 @@
 
  private:
   void Loop();
-  void Watch();
+  void Watch(const std::string& address);
+  void Pause(core::Micros span, const std::string& address);
+  void Answered(const std::string& address);
   std::string Address() const;
   void TakeLine(std::string_view line);
 
@@ -33,7 +37,9 @@
   core::Core& core_;
   const core::Clock& clock_;
   std::atomic<bool> stopping_{false};
+  limits::Backoff backoff_;  // the thread's
   mutable std::mutex mutex_;
+  std::condition_variable wake_;
   std::string address_;
   net::Thread thread_;
 };
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -382,7 +382,7 @@
     for (const auto& [key, sent] : server.out) oldest = std::min(oldest, sent);
     if (server.replied_us > oldest || static_cast<double>(now - oldest) <= kSilence * copy_us) return;
     if (!server.sick) MarkSick(server, true);
-    if (oldest != server.idle_sent_us || !s.may_cancel) return;
+    if (oldest != server.idle_sent_us || server.idle_us <= proven_us || !s.may_cancel) return;
     server.trial_us = 0;
     server.trial_turn = 0;
     reap_us = std::max({std::min(reap_us, server.idle_us) / 2, kReapLeast * least_aim_us, proven_us});
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,77 @@
+// What is harmless from one gatherer and hurts from a hundred: groups of the deciding parts in virtual time.
+#define CATCH_CONFIG_MAIN
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <queue>
+#include <vector>
+
+#include "limits/backoff.h"
+
+using liftrudder::limits::Backoff;
+using Micros = Backoff::Micros;
+
+TEST_CASE("a wait stays under a bound that doubles up to the cap, and a success resets it") {
+  rc::check([] {
+    Micros first = *rc::gen::inRange<Micros>(1, 1'000'000);
+    Micros most = first * *rc::gen::inRange<Micros>(1, 100);
+    Backoff backoff(first, most, *rc::gen::arbitrary<std::uint64_t>());
+    Micros bound = first;
+    for (int i = 0; i < 20; ++i) {
+      Micros wait = backoff.Next();
+      RC_ASSERT(wait >= 0 && wait < std::min(bound, most));
+      bound = std::min(bound * 2, most);
+    }
+    RC_ASSERT(backoff.failures() == 20);
+    backoff.Reset();
+    RC_ASSERT(backoff.Next() < first);
+    RC_ASSERT(backoff.Within(0) == 0);
+  });
+}
+
+namespace {
+
+// A list service of fixed capacity: calls wait in turn and fail when they have waited too long; turning one
+// away takes a share of what answering takes.
+struct Group {
+  static constexpr int kSize = 100;
+  static constexpr Micros kAnswer = 25'000, kTurnAway = 10'000, kPatience = 2'000'000;
+
+  // When the last of the group was answered, all killed at 0; -1: not within a minute. `first` and `again`
+  // say how long gatherer i waits before its first call and after a failure.
+  static Micros AllTold(const std::function<Micros(int)>& first, const std::function<Micros(int)>& again) {
+    using Call = std::pair<Micros, int>;  // when, whose
+    std::priority_queue<Call, std::vector<Call>, std::greater<>> calls;
+    for (int i = 0; i < kSize; ++i) calls.push({first(i), i});
+    Micros free = 0;
+    int told = 0;
+    while (!calls.empty() && calls.top().first < 60'000'000) {
+      auto [came, who] = calls.top();
+      calls.pop();
+      Micros turn = std::max(free, came);
+      bool late = turn - came > kPatience;
+      // A full room is seen at once; what that costs comes off the time of the others.
+      free = late ? free + kTurnAway : turn + kAnswer;
+      if (late) calls.push({came + again(who), who});
+      if (!late && ++told == kSize) return turn + kAnswer;
+    }
+    return -1;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a group killed at once is told by a list service that drowns in calls a tenth of a second apart") {
+  auto fixed = [](int) -> Micros { return 100'000; };
+  CHECK(Group::AllTold([](int) -> Micros { return 0; }, fixed) == -1);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    std::vector<Backoff> each;
+    for (int i = 0; i < Group::kSize; ++i) each.emplace_back(1'250'000, 5'000'000, seed * 1000 + i);
+    Micros at = Group::AllTold([&](int i) { return each[i].Within(3'000'000); },
+                               [&](int i) { return each[i].Next(); });
+    INFO("seed " << seed);
+    CHECK(at > 0);
+    CHECK(at < 10'000'000);
+  }
+}
