A frame that waits for its first byte is looked at again, and can be taken back unsent

Seen on reading the change: a frame of which nothing could be written was sent later without another look at drain, deadline and cancel. Lines at fault: HolderLinks::Flush. Change: looked at again at each try of its first byte; withdrawn before it, it never ran. Scenarios and parts pass; no test of its own, the socket must be full to the byte.

--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -75,6 +75,8 @@
   auto found = live_.find(key);
   if (found == live_.end()) return;
   auto place = connections_.find(found->second.connection);
+  if (place != connections_.end() && place->second.writing == key && place->second.written == 0)
+    TakeBack(place->second);
   if (found->second.progress >= core::Progress::kPartlyWritten && place != connections_.end()) {
     Connection& connection = place->second;
     Link& link = *connection.link;
@@ -379,6 +381,7 @@
       connection.written = 0;
       connection.write_until_us = clock_.Now() + kWriteWait;
     }
+    if (connection.writing && connection.written == 0 && Unsent(connection)) continue;
     std::size_t sent = 0;
     Io got = WriteNow(connection.fd, std::string_view(connection.frame).substr(connection.written), sent);
     connection.written += sent;
@@ -398,16 +401,37 @@
   return true;
 }
 
+// Guards the first byte of a frame that had to wait for room: by now its time may be over or its holder
+// drain.
+bool HolderLinks::Unsent(Connection& connection) {
+  core::AttemptKey key = *connection.writing;
+  auto found = live_.find(key);
+  if (found != live_.end() && !Stale(found->second.order)) return false;
+  TakeBack(connection);
+  Finish(key, core::Cause::kStale);
+  return true;
+}
+
+// Nothing of the frame has been written: the attempt is as if it had never been on this connection.
+void HolderLinks::TakeBack(Connection& connection) {
+  core::AttemptKey key = *connection.writing;
+  std::erase_if(connection.out, [&](const auto& one) { return one.second == key; });
+  connection.frame.clear();
+  connection.writing.reset();
+  auto found = live_.find(key);
+  if (found == live_.end()) return;
+  found->second.progress = core::Progress::kNotConnected;
+  found->second.connection = 0;
+}
+
 // It took no more. One that turns out broken before an attempt's first byte has told nobody anything of it:
 // that goes to another. Answers that came before the end still count; a frame cut short ends with the
 // connection.
 bool HolderLinks::Broken(Number number, Connection& connection) {
   auto found = connection.writing ? live_.find(*connection.writing) : live_.end();
   if (found != live_.end() && connection.written == 0 && ++found->second.turns < kTurns) {
-    std::erase_if(connection.out, [&](const auto& one) { return one.second == found->first; });
-    found->second.progress = core::Progress::kNotConnected;
-    found->second.connection = 0;
     connection.link->queue.push_front(found->first);
+    TakeBack(connection);
   }
   connection.frame.clear();
   connection.control.clear();
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -129,6 +129,8 @@
   void ConnectFailed(Number number, Connection& connection);
   void Write(Number number, Connection& connection, const core::AttemptKey& key, Attempt& attempt);
   bool Flush(Number number, Connection& connection);
+  bool Unsent(Connection& connection);
+  void TakeBack(Connection& connection);
   bool Broken(Number number, Connection& connection);
   bool Receive(Number number, Connection& connection);
   bool TakeAnswer(Connection& connection, HolderAnswer answer);
