--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -16,7 +16,7 @@
 // ---- Constants: ratios of what the settings state or of what is observed; none is one deployment's. ----
 constexpr double kWeightSlack = 5e-5;  // told weights are 32-bit and sum to 1 only roughly
 constexpr double kTicksToAnswer = 3;   // resolutions kept back so that an answer meant in time is in time,
-constexpr double kAnswerLead = 0.03;   // and least aims before an aim: on a busy core rounds and writes are late
+constexpr double kAnswerLead = 0.03;   // and least aims before an aim: on a busy core writes are late
 // Latencies assumed before anything was seen, as shares of the least aim, and the observations each is worth;
 // with a tail, or a restarted instance would copy every part and call every replica silent.
 constexpr std::pair<double, double> kPrior[] = {{1.0 / 8, 6}, {1.0 / 4, 3}, {1.0 / 2, 2}};
@@ -95,7 +95,7 @@
   bool in = false;
   bool wanted = false;
   HeldWhy held = HeldWhy::kNone;  // as last told
-  Micros idle_since_us = 0;  // wanted, and nothing out since then
+  Micros idle_since_us = 0;       // wanted, and nothing out since then
   std::vector<Attempt> attempts;
   int Out() const { return static_cast<int>(std::ranges::count_if(attempts, &Attempt::out)); }
 };
