Bad holders are found by Page's test against the fleet's own share of failures

Seen, in a group of 100 modules before 30 holders in virtual time (each gatherer meets a holder twice in five seconds): a holder that fails half its parts still got 0.58 of what a good one got after 20 to 30 s, 0.53 where the good ones fail 12%. Checked: two failures in a row made it bad and one good trial part well again, so it flapped; and trial parts came every 1.5 turns, half of its ordinary traffic. Ruled out: a slower mean (a holder that fails wholly is found after five parts instead of two), a faster one (good ones condemned where a tenth fails everywhere).

Lines at fault: JudgeOutcome's errors and the recovery in src/rules.cpp. Now the log of how much likelier each outcome is from a holder that fails half than from one that fails as the fleet does is added up; trial parts come every 3 turns and sooner after a good one; three good ones let it back.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -23,17 +23,16 @@
 constexpr double kLatencyMemory = 4;    // aims after which an observed latency counts 1/e
 constexpr double kBucketGrowth = 1.15;  // latency histogram: 15% a bucket, from 1 ms
 constexpr int kBuckets = 80;
-constexpr double kSpread = 3;          // the slowest part of a query takes about this many median latencies
-constexpr double kPerPartGain = 0.03;  // weight of the newest part in the latency for each part out
-constexpr double kSlope = 0.5;         // share of that which each further part of ours at its replica adds
-constexpr double kPressureMemory =
-    0.5;                              // least aims (or the whole gap between own queries, where longer) over
-constexpr double kPressurePrior = 3;  // which parts out are set against answers, and so many assumed ones
-constexpr double kServerGain = 0.15;  // the same for one replica, which sees fewer
-constexpr double kCutFrom = 0.8;      // pressure (1: the slowest part comes in with the aim) at which the
-constexpr double kCutFull = 1.4;      // cut leaves zero, and at which it takes all that may be skipped
-constexpr double kRefuseFrom = 1.2;   // dropping light parts has not relieved it: refusals begin,
-constexpr double kRefuseFull = 2.0;   // and here the class of least worth for its work goes whole
+constexpr double kSpread = 3;            // the slowest part of a query takes about this many median latencies
+constexpr double kPerPartGain = 0.03;    // weight of the newest part in the latency for each part out
+constexpr double kSlope = 0.5;           // share of that which each further part of ours at its replica adds
+constexpr double kPressureMemory = 0.5;  // least aims (or the gap between own queries, where longer) over
+constexpr double kPressurePrior = 3;     // which parts out are set against answers, and so many assumed ones
+constexpr double kServerGain = 0.15;     // the same for one replica, which sees fewer
+constexpr double kCutFrom = 0.8;         // pressure (1: the slowest part comes in with the aim) at which the
+constexpr double kCutFull = 1.4;         // cut leaves zero, and at which it takes all that may be skipped
+constexpr double kRefuseFrom = 1.2;      // dropping light parts has not relieved it: refusals begin,
+constexpr double kRefuseFull = 2.0;      // and here the class of least worth for its work goes whole
 constexpr double kHotFrom = 0.6;  // expected latency of the slowest part, as a share of the aim: from here
 constexpr double kHotFull = 1.2;  // on queries that need it are refused, and from here on all of them
 constexpr double kCopyQuantile = 0.95;  // a part out longer than this share of parts took gets a copy
@@ -49,9 +48,14 @@
 constexpr double kHealthMemory = 0.8;       // what an older sample counts after each new one
 constexpr double kSilence = 2.0;            // silent for this many times the copy quantile: sick
 constexpr double kReapLeast = 0.25;         // least aims unused after which a connection may have died unseen
-constexpr double kReapMemory = 16;     // least aims in which the time after which they do grows e-fold again
-constexpr double kErrorGain = 0.3;     // weight of the newest outcome in a replica's share of errors
-constexpr double kErrorSick = 0.5;     // share of errors that makes a replica sick: two in a row
+constexpr double kReapMemory = 16;   // least aims in which the time after which they do grows e-fold again
+constexpr double kNewestGain = 0.3;  // weight of the newest in the usual gap between queries, and their parts
+// Page's test, as each of a large group meets a replica seldom: the log of how much likelier an outcome is
+// from one that fails this share than from any is added up from 0. Sick from kBadFrom on (two failures among
+constexpr double kBadShare = 0.5;  // five outcomes where few fail), counted up to kBadMost, and let back by a
+constexpr double kBadFrom = 4, kBadMost = 5, kBadWell = 3.5;  // good trial part below kBadWell
+constexpr double kFleetLeast = 0.02;   // what the fleet fails is taken for no less, and each outcome's weight
+constexpr double kFleetGain = 0.01;    // in it is this: so a few failures do not condemn a good one
 constexpr double kLossMemory = 4;      // least aims after which a replica lost unannounced counts 1/e
 constexpr double kLossGuard = 0.5;     // more such losses than this: queries are sent by one part first
 constexpr double kLossMost = 2;        // and more than this are not counted, lest the guard outlast them
@@ -64,7 +68,7 @@
 constexpr double kZoneMemory = 1;  // least aims after which such an outcome counts 1/e
 constexpr double kZoneTrial = 1;   // least aims between trial parts to a far zone
 constexpr double kTrialFirst = 0.25;   // least aims before a sick replica gets a trial part,
-constexpr double kTrialTurns = 1.5;    // and parts sent to a healthy one: the trials of a group add up
+constexpr double kTrialTurns = 3;      // and parts sent to a healthy one: the trials of a group add up
 constexpr double kTrialGrowth = 1.5;   // each failed trial puts the next off by this factor,
 constexpr double kTrialMost = 8;       // up to this one
 constexpr double kAskFirst = 1.0 / 8;  // share of the time within which the list must be asked for that the
@@ -92,8 +96,7 @@
   int shard = 0;
   double weight = 0;
   std::uint64_t key = 0;
-  bool in = false;
-  bool wanted = false;
+  bool in = false, wanted = false;
   HeldWhy held = HeldWhy::kNone;  // as last told
   Micros idle_since_us = 0;       // wanted, and nothing out since then
   std::vector<Attempt> attempts;
@@ -104,8 +107,7 @@
   Id id = 0;
   std::int64_t number = 0;
   std::size_t class_index = 0;
-  Micros aim_at_us = 0;
-  Micros deadline_us = 0;
+  Micros aim_at_us = 0, deadline_us = 0;
   int step = 1;
   bool dispatched = false;  // the parts of this step were sent
   bool first_full = true;   // the first step's answer was whole
@@ -128,12 +130,11 @@
   Micros cold_us = 0;                        // when these were last filled
   double cold_seen = 0;                      // and what warm_sent was then
   double log_sum = 0, samples = 0;           // log of latency against the fleet's median
-  double errors = 0;                         // recent share of failed outcomes
+  double errors = 0;                         // how much likelier its outcomes are from a bad one, as a log
   double per_part_us = 0;                    // latency for each part of ours out; 0: not seen
   Micros replied_us = 0;
-  Micros answered_us = 0;  // when the newest part that it answered had been sent
-  bool sick = false;
-  bool dead = false;        // sick, and not for being slow: it answers nothing of use
+  Micros answered_us = 0;           // when the newest part that it answered had been sent
+  bool sick = false, dead = false;  // dead: sick, and not for being slow: it answers nothing of use
   Micros used_us = 0;       // when something of ours last went to it or came back; 0: no connection yet
   Micros idle_sent_us = 0;  // a part that went out on a connection unused for idle_us, nothing back since
   double idle_us = 0;
@@ -208,8 +209,6 @@
     return static_cast<std::size_t>(std::clamp(b, 0.0, kBuckets - 1.0));
   }
 
-  void Observe(double latency_us) { histogram[Bucket(latency_us)] += 1; }
-
   double Quantile(double share) const {
     double total = 0, sum = 0;
     for (double count : histogram) total += count;
@@ -222,8 +221,7 @@
 
   // Once a tick: old observations fade, quantiles, pressure, the cut's level, refusals, health.
   void UpdateView() {
-    double dt = static_cast<double>(now - viewed_us);
-    if (viewed_us == 0 || dt <= 0) dt = 0;
+    double dt = viewed_us == 0 ? 0 : std::max(0.0, static_cast<double>(now - viewed_us));
     viewed_us = now;
     double keep = std::exp(-dt / (kLatencyMemory * least_aim_us));
     reap_us *= std::exp(dt / (kReapMemory * least_aim_us));
@@ -368,7 +366,7 @@
   }
 
   void PutTrialOff(Server& server, double growth) {
-    server.trial_factor = std::min(server.trial_factor * growth, kTrialMost);
+    server.trial_factor = std::clamp(server.trial_factor * growth, 1.0, kTrialMost);
     server.trial_us = now + static_cast<Micros>(server.trial_factor * kTrialFirst * least_aim_us);
     server.trial_turn = warm_sent + server.trial_factor * kTrialTurns;
   }
@@ -437,7 +435,12 @@
     exposure_us += ended.code == OutcomeCode::kFull ? least_aim_us : 0;
     new_answers += (ok && !server.sick) || ended.code == OutcomeCode::kFull ? 1 : 0;
     bool failed = !ok && ended.code != OutcomeCode::kFull && ended.code != OutcomeCode::kTimeout;
-    server.errors += kErrorGain * ((failed ? 1.0 : 0.0) - server.errors);
+    if (ok || failed) {
+      double usual = std::clamp(fleet_errors, kFleetLeast, kBadShare * kBadShare);
+      double likelier = std::log(failed ? kBadShare / usual : (1 - kBadShare) / (1 - usual));
+      server.errors = std::clamp(server.errors + likelier, 0.0, kBadMost);
+      fleet_errors += kFleetGain * ((failed ? 1 : 0) - fleet_errors);
+    }
     // No connection, or one lost: the process or the way to it is gone, whatever the list says.
     bool lost = ended.code == OutcomeCode::kConnectFailed || ended.code == OutcomeCode::kReset;
     double spent = static_cast<double>(ended.spent_us);
@@ -446,16 +449,14 @@
     if (ok) {
       server.answered_us = std::max(server.answered_us, now - ended.spent_us);
       double ratio = std::log(std::max(spent, 1.0) / median_us);
-      if (server.sick) {
-        // One answer among many errors is no recovery.
-        if (ratio < std::log(kSlowRatio) && server.errors <= kErrorSick) {
-          server.sick = server.dead = false;
-          server.log_sum = server.samples = 0;
-        } else {
-          PutTrialOff(server, kTrialGrowth);
-        }
+      bool fit = ratio < std::log(kSlowRatio);
+      if (server.sick && fit && server.errors < kBadWell) {  // one answer among many errors is no recovery
+        server.sick = server.dead = false;
+        server.log_sum = server.samples = 0;
+      } else if (server.sick) {
+        PutTrialOff(server, fit ? 1 / kTrialMost : kTrialGrowth);
       } else {
-        Observe(spent);
+        histogram[Bucket(spent)] += 1;
         if (Warmth(server) >= 1) per_part_us += kPerPartGain * (spent / attempt.depth - per_part_us);
       }
       // Of a sick one too: where it is the last holder of a shard, this says what its parts will take.
@@ -469,7 +470,7 @@
       PutTrialOff(server, kTrialGrowth);
     }
     bool slow = server.log_sum / (server.samples + kHealthPrior) > std::log(kSlowRatio);
-    bool useless = lost || server.errors > kErrorSick;
+    bool useless = lost || server.errors >= kBadFrom;
     if (useless || slow) MarkSick(server, useless);
   }
 
@@ -493,7 +494,7 @@
     if (c >= s.classes.size()) return out->push_back(Fail{event.id, Because(EndCause::kNoClass, 0, 0)});
     taken.push_back(now);
     auto gap = static_cast<double>(std::min(now - query_us, s.classes[0].give_up_us * 2));
-    if (query_us > 0) query_gap_us += kErrorGain * (gap - query_gap_us);
+    if (query_us > 0) query_gap_us += kNewestGain * (gap - query_gap_us);
     query_us = now;
     Query query;
     query.id = event.id;
@@ -576,7 +577,7 @@
     const ClassSettings& cls = s.classes[c];
     if (query.step == 1) {
       auto count = static_cast<double>(query.parts.size());
-      class_parts[c] = class_parts[c] == 0 ? count : class_parts[c] + kErrorGain * (count - class_parts[c]);
+      class_parts[c] = class_parts[c] == 0 ? count : class_parts[c] + kNewestGain * (count - class_parts[c]);
     }
     double aim =
         static_cast<double>(query.aim_at_us - now) / (query.step == 1 && cls.fetch_parts > 0 ? 2 : 1);
@@ -738,10 +739,8 @@
     for (const Attempt& attempt : part.attempts) {
       if (attempt.never_ran) continue;
       if (cls.effect == Effect::kAtMostOnce) return false;
-      if (cls.effect == Effect::kDeduplicated &&
-          now + answer_margin_us - attempt.sent_us > cls.repeat_window_us) {
-        return false;
-      }
+      bool outside = now + answer_margin_us - attempt.sent_us > cls.repeat_window_us;
+      if (cls.effect == Effect::kDeduplicated && outside) return false;
     }
     return true;
   }
@@ -902,9 +901,8 @@
       return Conclude(query, false, Because(cause, query.in_weight, cls.floor));
     }
     double least = std::min(cls.floor, cls.whole_at);
-    bool hopeless = possible < least - kWeightSlack;
     bool worthless = now >= query.aim_at_us - answer_margin_us && cls.late_share <= 0;
-    if (hopeless) return GiveUp(query, Because(EndCause::kHopeless, possible, least));
+    if (possible < least - kWeightSlack) return GiveUp(query, Because(EndCause::kHopeless, possible, least));
     double over = static_cast<double>(now - query.aim_at_us) / 1e6;
     if (expired || worthless) GiveUp(query, expired ? late : Because(EndCause::kWorthless, over, 0));
   }
@@ -1050,10 +1048,11 @@
   std::vector<double> class_parts, tenant_tokens;
   std::deque<Micros> taken, further, copies;
   std::vector<Zone> zones;
-  double usable = 0;      // replicas
-  double reap_us = 1e12;  // connections unused for this long are closed before use; may grow without bound
-  double proven_us = 0;   // the longest time that one was unused and lived, of late
-  double losses = 0;      // replicas lost unannounced of late
+  double usable = 0;        // replicas
+  double reap_us = 1e12;    // connections unused for this long are closed before use; may grow without bound
+  double proven_us = 0;     // the longest time that one was unused and lived, of late
+  double losses = 0;        // replicas lost unannounced of late
+  double fleet_errors = 0;  // recent share of failed outcomes, of all replicas
   bool timer_set = false;
   double query_gap_us = 0;  // usual time between queries of this instance; when the newest came:
   Micros query_us = 0;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -177,8 +177,8 @@
       WriteZone();
     } else if (verb == "update") {
       Update(who, rest);
-    } else if (verb == "deny") {
-      denials_.push_back(Plain(rest));
+    } else if (verb == "deny" || verb == "stall") {
+      denials_.emplace_back(Plain(rest), verb == "stall");
     } else if (verb == "log") {
       Until([&] { return log_.find(rest) != std::string::npos; }, "the log does not say so");
       if (log_.find(rest) != log_.rfind(rest)) throw std::runtime_error("said more than once:\n" + log_);
@@ -331,7 +331,8 @@
     Until([&] { return !Logged("listens on ").empty(); }, "the program does not listen");
     address_ = Logged("listens on ");
     if (config_["discovery"] == "") return;
-    Until([&] { return !discovery_.lines.empty(); }, "the program does not watch discovery");
+    Until([&] { return !discovery_.lines.empty() || !stalled_.empty(); },
+          "the program does not watch discovery");
   }
 
   // The word after this in a whole line of the log.
@@ -504,8 +505,10 @@
     line.fd = net::Accept(peer.listener, 0);
     if (!frames) line.http = std::make_unique<HttpParser>(HttpParser::Kind::kRequest);
     if (discovery && !denials_.empty()) {
-      net::WriteAll(line.fd, denials_.front(), 0);
+      auto [text, stall] = denials_.front();
       denials_.pop_front();
+      net::WriteAll(line.fd, text, 0);
+      if (stall) stalled_.push_back(std::move(line.fd));
       peer.lines.pop_back();
     } else if (discovery) {
       net::WriteAll(line.fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 0);
@@ -545,7 +548,8 @@
   }
 
   std::string program_, folder_, address_, log_, last_;
-  std::deque<std::string> denials_;
+  std::deque<std::pair<std::string, bool>> denials_;  // what is written, and whether the connection stays
+  std::vector<Fd> stalled_;
   Json config_;
   std::uint64_t version_ = 1;
   bool search_ = false, asked_ = false;
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -13,6 +13,7 @@
 //   flood C SIZE TEXT        client C sends the bytes and then so many more, whatever is answered meanwhile
 //   reply X STATUS BODY      a holder answers the request it took last, in HTTP
 //   deny discovery BYTES     the next watch gets these bytes and its connection ends
+//   stall discovery BYTES    the next watch gets these bytes, and nothing more on a connection that stays
 //   log once TEXT            the program's log says this, and only once so far
 //   list NAME STATE          discovery tells of a holder: ready, draining or gone
 //   expect X GLOB            the next message at X matches (a holder's name, a client's, or any: the holder
