Failed trial parts put the next off threefold; only failing holders' come every two turns

Holders that were slow for their load were kept out too long.

Change: trial parts of slow holders come every 1.5 turns again, those of failing ones every 2, and each failed trial triples the wait up to the same cap; it grew by half.

All tests pass.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -67,9 +67,9 @@
 constexpr double kZoneRatio = 2;   // counts as far, when not all zones do
 constexpr double kZoneMemory = 1;  // least aims after which such an outcome counts 1/e
 constexpr double kZoneTrial = 1;   // least aims between trial parts to a far zone
-constexpr double kTrialFirst = 0.25;   // least aims before a sick replica gets a trial part,
-constexpr double kTrialTurns = 3;      // and parts sent to a healthy one: the trials of a group add up
-constexpr double kTrialGrowth = 1.5;   // each failed trial puts the next off by this factor,
+constexpr double kTrialFirst = 0.25;                // least aims before a sick replica gets a trial part,
+constexpr double kTrialTurns = 1.5, kBadTurns = 2;  // and parts sent to a healthy one, one that fails more:
+constexpr double kTrialGrowth = 3;     // trials of a group add up; each failed one puts the next off by this,
 constexpr double kTrialMost = 8;       // up to this one
 constexpr double kAskFirst = 1.0 / 8;  // share of the time within which the list must be asked for that the
 constexpr double kAskMost = 1.0 / 2;   // first further call waits at most, and any
@@ -368,7 +368,8 @@
   void PutTrialOff(Server& server, double growth) {
     server.trial_factor = std::clamp(server.trial_factor * growth, 1.0, kTrialMost);
     server.trial_us = now + static_cast<Micros>(server.trial_factor * kTrialFirst * least_aim_us);
-    server.trial_turn = warm_sent + server.trial_factor * kTrialTurns;
+    double turns = server.errors >= kBadWell ? kBadTurns : kTrialTurns;
+    server.trial_turn = warm_sent + server.trial_factor * turns;
   }
 
   // A replica that answers nothing shows only by the age of what it holds. Where the first part went out on a
@@ -956,9 +957,8 @@
       harmless = harmless && query.step == 1;
     }
     if (harmless && now < query.deadline_us) {
-      double wait = least_aim_us * (kRetryAfter + refusal);
-      Micros most = s.may_retry_after ? s.max_retry_after_us : 0;
-      out->push_back(Refuse{query.id, std::min(most, static_cast<Micros>(wait)), why});
+      auto wait = static_cast<Micros>(least_aim_us * (kRetryAfter + refusal));
+      out->push_back(Refuse{query.id, s.may_retry_after ? std::min(s.max_retry_after_us, wait) : 0, why});
     } else {
       out->push_back(Fail{query.id, why});
     }
