--- /dev/null
+++ b/src/identity/callers.cpp
@@ -0,0 +1,95 @@
+#include "identity/callers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace liftrudder::identity {
+namespace {
+
+// RFC 6750 section 2.1; the scheme's letters in any case, as RFC 9110 section 11.1 has it.
+std::optional<std::string_view> Bearer(std::string_view text) {
+  constexpr std::string_view kScheme = "bearer ";
+  if (text.size() <= kScheme.size()) return std::nullopt;
+  for (std::size_t i = 0; i < kScheme.size(); ++i)
+    if ((text[i] >= 'A' && text[i] <= 'Z' ? text[i] + ('a' - 'A') : text[i]) != kScheme[i])
+      return std::nullopt;
+  text.remove_prefix(text.find_first_not_of(' ', kScheme.size()) == std::string_view::npos
+                         ? text.size()
+                         : text.find_first_not_of(' ', kScheme.size()));
+  return text;
+}
+
+}  // namespace
+
+Callers::Callers(Book book)
+    : gate_(Rules{book.issuer, book.audience, book.skew_us}, book.most_cached),
+      book_(std::make_shared<const Book>(std::move(book))) {}
+
+std::shared_ptr<const Book> Callers::book() const {
+  std::lock_guard lock(mutex_);
+  return book_;
+}
+
+std::optional<std::string> Callers::TakeKeys(std::string_view text, std::vector<std::string>& changes) {
+  auto read = KeySet::Read(text);
+  if (auto* wrong = std::get_if<std::string>(&read)) return std::move(*wrong);
+  auto keys = std::get<std::shared_ptr<const KeySet>>(read);
+  auto before = gate_.keys();
+  if (auto wrong = gate_.Replace(keys)) return wrong;
+  changes = Differences(*before, *keys);
+  return std::nullopt;
+}
+
+std::optional<std::string> Callers::TakeBook(Book book, std::vector<std::string>& changes) {
+  std::shared_ptr<const Book> before = this->book();
+  // Cached tokens were held against these; a program that changed them in service would need both at once.
+  if (book.issuer != before->issuer || book.audience != before->audience || book.skew_us != before->skew_us ||
+      book.work_per_s != before->work_per_s || book.most_open != before->most_open)
+    return "issuer, audience, skewS, workPerS and mostOpen change with a restart only";
+  for (const auto& [name, rights] : before->tenants)
+    if (!book.tenants.contains(name)) changes.push_back(fmt::format("tenant '{}' is gone", name));
+  for (const auto& [name, rights] : book.tenants) {
+    auto old = before->tenants.find(name);
+    if (old == before->tenants.end()) changes.push_back(fmt::format("tenant '{}' is new", name));
+    // Rights that are the same stay the same object: what was begun under them goes on.
+    if (old != before->tenants.end() && *old->second == *rights) book.tenants[name] = old->second;
+    if (old != before->tenants.end() && !(*old->second == *rights))
+      changes.push_back(fmt::format("tenant '{}' has other rights", name));
+  }
+  std::lock_guard lock(mutex_);
+  book_ = std::make_shared<const Book>(std::move(book));
+  return std::nullopt;
+}
+
+std::variant<Visitor, Refusal> Callers::Admit(const std::string* authorization, const std::string& address,
+                                              Micros now_us) {
+  if (authorization == nullptr) return Refusal{"no token", true, ""};
+  auto token = Bearer(*authorization);
+  if (!token) return Refusal{"no bearer token", true, ""};
+  auto admitted = gate_.Admit(*token, now_us);
+  if (const auto* denial = std::get_if<Denial>(&admitted))
+    return Refusal{std::string(Name(*denial)), true, ""};
+  Caller& caller = std::get<Caller>(admitted);
+  std::shared_ptr<const Book> book = this->book();
+  auto found = book->tenants.find(caller.tenant);
+  if (found == book->tenants.end()) return Refusal{"unknown tenant", true, caller.tenant};
+  if (!found->second->networks.empty() && !found->second->networks.Contain(address))
+    return Refusal{"not from this network", false, caller.tenant};
+  return Visitor{std::move(caller.tenant), std::move(caller.subject), found->second};
+}
+
+bool Audit::Take(Micros now_us, std::int64_t& unwritten) {
+  tokens_ = std::min(kBurst, tokens_ + kLinesPerSecond * static_cast<double>(now_us - filled_us_) / 1e6);
+  filled_us_ = now_us;
+  if (tokens_ < 1) {
+    ++unwritten_;
+    return false;
+  }
+  tokens_ -= 1;
+  unwritten = std::exchange(unwritten_, 0);
+  return true;
+}
+
+}  // namespace liftrudder::identity
--- /dev/null
+++ b/src/identity/callers.h
@@ -0,0 +1,69 @@
+// Lets requests in or turns them away: the gate for tokens, and the newest book of tenants' rights. Decides
+// from what it is handed; files are read elsewhere. Any thread.
+#ifndef LIFTRUDDER_IDENTITY_CALLERS_H_
+#define LIFTRUDDER_IDENTITY_CALLERS_H_
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "identity/gate.h"
+#include "identity/rights.h"
+
+namespace liftrudder::identity {
+
+// Who was let in, with the rights that hold for this request whatever changes meanwhile.
+struct Visitor {
+  std::string tenant, subject;
+  std::shared_ptr<const Rights> rights;
+};
+
+// `why` is for the audit alone; a caller learns only whether it is unknown or not let in from there.
+struct Refusal {
+  std::string why;
+  bool unknown = true;  // 401; else 403
+  std::string tenant;   // where the token was good
+};
+
+class Callers {
+ public:
+  explicit Callers(Book book);
+
+  // The newer keys or rights hold for every request after; or nothing changes and it says why. What changed
+  // is a line each in `changes`.
+  std::optional<std::string> TakeKeys(std::string_view text, std::vector<std::string>& changes);
+  std::optional<std::string> TakeBook(Book book, std::vector<std::string>& changes);
+
+  // `authorization` is that header's text, null where there is none or more than one.
+  std::variant<Visitor, Refusal> Admit(const std::string* authorization, const std::string& address,
+                                       Micros now_us);
+
+  std::shared_ptr<const Book> book() const;
+
+ private:
+  Gate gate_;
+  mutable std::mutex mutex_;
+  std::shared_ptr<const Book> book_;
+};
+
+// Bounds what is written of refusals: so many lines a second, and how many there were besides. Not for
+// several threads without a lock of the caller's.
+class Audit {
+ public:
+  // Whether this refusal's line is written; `unwritten` says how many were not since the last that was.
+  bool Take(Micros now_us, std::int64_t& unwritten);
+
+ private:
+  static constexpr double kLinesPerSecond = 10, kBurst = 20;
+  double tokens_ = kBurst;
+  Micros filled_us_ = 0;
+  std::int64_t unwritten_ = 0;
+};
+
+}  // namespace liftrudder::identity
+
+#endif  // LIFTRUDDER_IDENTITY_CALLERS_H_
--- /dev/null
+++ b/src/identity/rights.cpp
@@ -0,0 +1,167 @@
+#include "identity/rights.h"
+
+#include <fmt/format.h>
+extern "C" {
+#include <libcidr.h>
+}
+
+#include "identity/strict_json.h"
+
+namespace liftrudder::identity {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::int64_t kMostSkewS = 300;
+constexpr std::int64_t kMostCached = 65536;
+constexpr std::int64_t kMostWeight = 1000;
+constexpr std::int64_t kMostWork = 1'000'000'000;
+constexpr std::int64_t kMostOpen = 1'000'000;
+
+std::shared_ptr<cidr_addr> Prefix(const std::string& text) {
+  return {cidr_from_str(text.c_str()), [](cidr_addr* prefix) {
+            if (prefix != nullptr) cidr_free(prefix);
+          }};
+}
+
+// One member after the other, each told where it stands; what is not known is an error, since a right that is
+// misspelt would be one that is not held against anybody.
+class Reader {
+ public:
+  Reader(const Json& object, std::string where) : object_(object), where_(std::move(where)) {
+    if (!object.is_object()) Wrong("is not an object");
+  }
+
+  template <typename T>
+  void Take(const char* name, T& out) {
+    known_.insert(name);
+    auto found = object_.find(name);
+    if (found == object_.end()) return;
+    bool fits = std::is_same_v<T, bool> ? found->is_boolean() : found->is_string();
+    if constexpr (std::is_same_v<T, std::vector<std::string>>) {
+      fits = found->is_array();
+      for (const Json& one : *found) fits = fits && one.is_string();
+    }
+    if (!fits) return Wrong(fmt::format("[{}] is of another kind", name));
+    found->get_to(out);
+  }
+  std::int64_t Number(const char* name, std::int64_t least, std::int64_t most, std::int64_t otherwise) {
+    known_.insert(name);
+    auto found = object_.find(name);
+    if (found == object_.end()) return otherwise;
+    if (!found->is_number_integer() || found->get<std::int64_t>() < least ||
+        found->get<std::int64_t>() > most)
+      Wrong(fmt::format("[{}] must be a whole number from {} to {}", name, least, most));
+    return wrong.empty() ? found->get<std::int64_t>() : otherwise;
+  }
+  const Json* Member(const char* name) {
+    known_.insert(name);
+    auto found = object_.find(name);
+    return found == object_.end() ? nullptr : &*found;
+  }
+  void End() {
+    if (!object_.is_object()) return;
+    for (const auto& [name, value] : object_.items())
+      if (!known_.contains(name)) Wrong(fmt::format("[{}] is not known", name));
+  }
+  void Wrong(const std::string& what) {
+    if (wrong.empty()) wrong = fmt::format("{}: {}", where_, what);
+  }
+
+  std::string wrong;
+
+ private:
+  const Json& object_;
+  std::string where_;
+  std::set<std::string, std::less<>> known_;
+};
+
+std::string ReadRights(const Json& value, const std::string& where, Rights& out) {
+  Reader reader(value, where);
+  if (!reader.wrong.empty()) return reader.wrong;
+  std::vector<std::string> indices, networks;
+  reader.Take("indices", indices);
+  reader.Take("partial", out.partial);
+  reader.Take("scrolls", out.scrolls);
+  reader.Take("pages", out.pages);
+  reader.Take("networks", networks);
+  out.weight = static_cast<double>(reader.Number("weight", 1, kMostWeight, 1));
+  if (const Json* filter = reader.Member("filter")) {
+    if (!filter->is_object() || filter->size() != 1)
+      reader.Wrong("[filter] must be a query: an object with one member");
+    out.filter = filter->dump();
+  }
+  std::string wrong;
+  if (!Networks::Read(networks, out.networks, wrong))
+    reader.Wrong(fmt::format("[networks] '{}' is no prefix such as 10.1.0.0/16 or fd00::/8", wrong));
+  // An empty list that lets all in would be a trap for whoever empties it to shut a tenant out.
+  if (reader.Member("networks") != nullptr && networks.empty())
+    reader.Wrong("[networks] names none; leave it out for any");
+  if (networks.size() > kMostNetworks) reader.Wrong(fmt::format("[networks] has over {}", kMostNetworks));
+  out.indices.insert(indices.begin(), indices.end());
+  reader.End();
+  return reader.wrong;
+}
+
+}  // namespace
+
+bool Networks::Read(const std::vector<std::string>& prefixes, Networks& out, std::string& wrong) {
+  for (const std::string& text : prefixes) {
+    std::shared_ptr<cidr_addr> prefix = Prefix(text);
+    if (prefix == nullptr) {
+      wrong = text;
+      return false;
+    }
+    out.prefixes_.push_back(std::move(prefix));
+    out.texts_.push_back(text);
+  }
+  return true;
+}
+
+bool Networks::Contain(const std::string& address) const {
+  std::string_view plain = address;
+  if (plain.starts_with("::ffff:") && plain.find('.') != std::string_view::npos) plain.remove_prefix(7);
+  std::shared_ptr<cidr_addr> host = Prefix(std::string(plain));
+  if (host == nullptr) return false;
+  for (const auto& prefix : prefixes_) {
+    if (cidr_get_proto(prefix.get()) == cidr_get_proto(host.get()) &&
+        cidr_contains(prefix.get(), host.get()) == 0)
+      return true;
+  }
+  return false;
+}
+
+std::variant<Book, std::string> Book::Read(std::string_view text) {
+  constexpr std::size_t kMostDepth = 24;  // filters are queries, and those nest
+  auto read = ReadStrictJson(text, kMostBookBytes, kMostDepth);
+  if (const auto* wrong = std::get_if<std::string>(&read)) return "identity: " + *wrong;
+  Book out;
+  Reader reader(std::get<Json>(read), "identity");
+  if (!reader.wrong.empty()) return reader.wrong;
+  reader.Take("keys", out.keys_file);
+  reader.Take("issuer", out.issuer);
+  reader.Take("audience", out.audience);
+  out.skew_us = 1'000'000 * reader.Number("skewS", 0, kMostSkewS, 5);
+  out.work_per_s = reader.Number("workPerS", 0, kMostWork, 0);
+  out.most_open = reader.Number("mostOpen", 0, kMostOpen, 0);
+  if ((out.work_per_s == 0) != (out.most_open == 0)) reader.Wrong("[workPerS] and [mostOpen] go together");
+  out.most_cached = static_cast<std::size_t>(reader.Number("cached", 1, kMostCached, 1024));
+  for (auto [name, value] :
+       {std::pair("keys", &out.keys_file), {"issuer", &out.issuer}, {"audience", &out.audience}})
+    if (value->empty()) reader.Wrong(fmt::format("[{}] is missing", name));
+  const Json* tenants = reader.Member("tenants");
+  if (tenants == nullptr || !tenants->is_object() || tenants->empty()) reader.Wrong("[tenants] names none");
+  if (!reader.wrong.empty()) return reader.wrong;
+  if (tenants->size() > kMostTenants) reader.Wrong(fmt::format("[tenants] has over {}", kMostTenants));
+  for (const auto& [name, value] : tenants->items()) {
+    auto rights = std::make_shared<Rights>();
+    std::string wrong = ReadRights(value, fmt::format("identity: tenant '{}'", name), *rights);
+    if (!wrong.empty()) return wrong;
+    out.tenants[name] = std::move(rights);
+  }
+  reader.End();
+  if (!reader.wrong.empty()) return reader.wrong;
+  return out;
+}
+
+}  // namespace liftrudder::identity
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <stdexcept>
 
+#include "app/identity_files.h"
 #include "app/why_command.h"
 #include "config/config.h"
 #include "core/core.h"
@@ -35,13 +36,17 @@
   return set;
 }
 
-// Until told to end; SIGUSR1 prints the counters, SIGHUP has the configuration read again.
+// Until told to end; SIGUSR1 prints the counters, SIGHUP has the configuration read again. Where files are
+// watched, `look` is called in between.
 void WaitForEnd(const sigset_t& signals, const lr::metrics::Counters& counters,
-                const std::function<void()>& reload) {
-  int signal = 0;
-  while (sigwait(&signals, &signal) == 0 && (signal == SIGUSR1 || signal == SIGHUP)) {
+                const std::function<void()>& reload, const std::function<void()>& look) {
+  const timespec pause{0, lr::app::IdentityFiles::kLookUs * 1000};
+  while (true) {
+    int signal = look ? sigtimedwait(&signals, nullptr, &pause) : sigwaitinfo(&signals, nullptr);
     if (signal == SIGHUP) reload();
     if (signal == SIGUSR1) lr::log::Info("counters\n{}", counters.Text());
+    if (signal == SIGTERM || signal == SIGINT) return;
+    if (look) look();
   }
 }
 
@@ -79,12 +84,13 @@
     lr::log::Error("{}; it is kept in memory", error.what());
     recorder.emplace(config.why.bytes, file = "", about, config.seed);
   }
-  lr::log::Info("the record of decisions has {} bytes{}{}", recorder->Claimed(), file.empty() ? "" : ", in ", file);
+  lr::log::Info("the record of decisions has {} bytes{}{}", recorder->Claimed(), file.empty() ? "" : ", in ",
+                file);
 }
 
 // `options` is null on the platform; elsewhere clients and holders are spoken to in the search API.
 void Serve(const std::string& path, const lr::config::Config& config, const lr::opensearch::Options* options,
-           const lr::dns::ZoneOptions& zone, const sigset_t& signals) {
+           const lr::dns::ZoneOptions& zone, lr::app::IdentityFiles* identity, const sigset_t& signals) {
   lr::metrics::Counters counters;
   lr::net::SteadyClock clock;
   lr::core::Directory directory(config.settings);
@@ -105,7 +111,8 @@
   if (config.why.bytes > 0) {
     StartRecord(config, clock.Now(), recorder);
     core.Attach(*recorder);
-    desk.emplace(recorder->arena(), [&core] { core.Freshen(); }, [&clock] { return clock.Now(); });
+    desk.emplace(
+        recorder->arena(), [&core] { core.Freshen(); }, [&clock] { return clock.Now(); });
   }
   lr::why::Desk* asked = desk ? &*desk : nullptr;
   if (zone.file.empty()) {
@@ -128,7 +135,8 @@
     if (options == nullptr) {
       front = std::make_unique<lr::platform::Front>(config, core, clock, counters, asked);
     } else {
-      front = std::make_unique<lr::opensearch::Front>(config, *options, core, clock, counters, asked);
+      front = std::make_unique<lr::opensearch::Front>(config, *options, core, clock, counters, asked,
+                                                      identity == nullptr ? nullptr : &identity->callers());
     }
     lr::net::Fd listener = NeedListener(config.listen);
     lr::log::Info("room for {} connections of clients, {} with requests, and {} to holders; {} of a core",
@@ -137,7 +145,13 @@
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
     lr::net::Server server(std::move(listener), *front, clock, counters,
                            {config.budget.client_connections, config.budget.client_requests});
-    WaitForEnd(signals, counters, [&] { Reload(path, watch ? &*watch : nullptr); });
+    std::function<void()> look;
+    if (identity != nullptr) look = [identity] { identity->Look(); };
+    auto reload = [&] {
+      Reload(path, watch ? &*watch : nullptr);
+      if (identity != nullptr) identity->Reload();
+    };
+    WaitForEnd(signals, counters, reload, look);
     server.Drain();
     lr::log::Info("told to end; {} queries are open", core.Open());
     Pause(kStillListening);
@@ -172,12 +186,13 @@
     std::string text = lr::config::ReadFile(search_file);
     lr::config::Config config = lr::config::Parse(text);
     lr::opensearch::Options options = lr::opensearch::ParseOptions(text, config);
-    Serve(search_file, config, &options, lr::dns::ParseZoneOptions(text), signals);
+    auto identity = lr::app::IdentityFiles::Open(search_file, text);
+    Serve(search_file, config, &options, lr::dns::ParseZoneOptions(text), identity.get(), signals);
     return 0;
   }
   const char* path = std::getenv("BALANCER_CONFIG");
   if (path == nullptr) throw std::runtime_error("BALANCER_CONFIG names no configuration");
-  Serve(path, lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, signals);
+  Serve(path, lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, nullptr, signals);
   return 0;
 } catch (const std::exception& error) {
   lr::log::Error("{}", error.what());
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -16,6 +16,7 @@
   line("queries_taken", taken);
   line("queries_turned_away", turned_away);
   line("requests_malformed", malformed);
+  line("requests_denied", denied);
   line("clients_closed_for_room", evicted);
   line("clients_gone", gone);
   line("answers_whole", whole);
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -19,7 +19,7 @@
 };
 
 struct Counters {
-  Counter taken, turned_away, malformed, gone;
+  Counter taken, turned_away, malformed, denied, gone;
   Counter whole, partial, refused, failed, late;
   Counter sent, resent, rounds, connects, connects_failed, lists, evicted, spoilt;
   std::array<Counter, 8> outcomes;  // in the order of tinsail::OutcomeCode
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -141,6 +142,16 @@
   return std::string(text) + ":" + std::to_string(ntohs(at.sin_port));
 }
 
+std::string PeerHost(int fd) {
+  sockaddr_storage at{};
+  socklen_t size = sizeof at;
+  if (getpeername(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0) return {};
+  char text[NI_MAXHOST] = {};
+  if (getnameinfo(reinterpret_cast<sockaddr*>(&at), size, text, sizeof text, nullptr, 0, NI_NUMERICHOST) != 0)
+    return {};
+  return text;
+}
+
 Fd Accept(const Fd& listener, Micros wait_us) {
   if (Wait(listener.Get(), POLLIN, Until(wait_us)) == 0) return Fd();
   Fd fd(::accept4(listener.Get(), nullptr, nullptr, SOCK_CLOEXEC));
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -54,6 +54,8 @@
 int ConnectError(const Fd& fd);
 Fd Listen(const std::string& address);
 std::string LocalAddress(const Fd& fd);
+// The other side's address without its port, in numbers; empty when it has gone.
+std::string PeerHost(int fd);
 Fd Accept(const Fd& listener, Micros wait_us);
 
 Written WriteAll(const Fd& fd, std::string_view bytes, Micros wait_us);
--- a/src/opensearch/errors.h
+++ b/src/opensearch/errors.h
@@ -19,6 +19,7 @@
 
 ApiError BadRequest(std::string reason);
 ApiError NoSuchIndex(const std::string& index);
+ApiError Forbidden(std::string reason);
 ApiError Busy(core::Micros retry_after_us);
 ApiError OutOfTime();
 ApiError Unanswered(std::string reason);
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -6,8 +6,10 @@
 #include <deque>
 #include <iterator>
 
+#include "log/log.h"
 #include "net/json.h"
 #include "net/why_page.h"
+#include "opensearch/guard.h"
 #include "opensearch/holders.h"
 
 namespace liftrudder::opensearch {
@@ -32,17 +34,35 @@
   return out;
 }
 
+std::map<std::string, double, std::less<>> Weights(const identity::Book& book) {
+  std::map<std::string, double, std::less<>> out;
+  for (const auto& [name, rights] : book.tenants) out[name] = rights->weight;
+  return out;
+}
+
 }  // namespace
 
 Front::Front(const config::Config& config, const Options& options, core::Core& core, const core::Clock& clock,
-             metrics::Counters& counters, why::Desk* desk)
+             metrics::Counters& counters, why::Desk* desk, identity::Callers* callers)
     : config_(config),
       options_(options),
       core_(core),
       clock_(clock),
       counters_(counters),
       desk_(desk),
-      scrolls_(options, clock, config.seed) {}
+      callers_(callers),
+      scrolls_(options, clock, config.seed,
+               callers == nullptr
+                   ? options.max_scrolls
+                   : std::max<std::size_t>(1, options.max_scrolls / callers->book()->tenants.size())) {
+  if (callers == nullptr || callers->book()->work_per_s == 0) return;
+  shared_by_ = callers->book();
+  limits::ShareSettings shares;
+  shares.work_per_s = static_cast<double>(shared_by_->work_per_s);
+  shares.most_open = static_cast<int>(shared_by_->most_open);
+  shares.weights = Weights(*shared_by_);
+  accounts_.emplace(std::move(shares), config.seed);
+}
 
 net::HttpResponse Front::Malformed(int status) {
   core_.NoteDoor(why::Door::kUnreadable, why::FrontKind::kSearch, why::kNoClass, status, "");
@@ -64,13 +84,19 @@
   std::string_view path = request.Path();
   if (path == "/-/ready" && exchange.draining) return ErrorResponse(Unanswered("draining"));
   if (path == "/-/ready" || path == "/-/healthy") return out;
+  Visitor visitor;
+  if (callers_ != nullptr) {
+    if (auto error = LetIn(request, exchange, visitor)) return Turned(*error);
+    bool page = path.starts_with("/-/");
+    if (page && !visitor.rights->pages) return ErrorResponse(Forbidden("no pages"));
+  }
   if (path == "/-/metrics") {
     out.type = "text/plain";
     out.body = counters_.Text();
     return out;
   }
   if (path == "/-/why") return net::WhyPage(desk_, request);
-  Result result = Route(request, exchange);
+  Result result = Route(request, exchange, visitor);
   if (std::holds_alternative<Gone>(result)) return std::nullopt;
   if (const auto* error = std::get_if<ApiError>(&result)) {
     if (error->status == 400) counters_.malformed.Add();
@@ -86,29 +112,97 @@
   return out;
 }
 
-Front::Result Front::Route(const net::HttpMessage& request, const net::Exchange& exchange) {
+bool Front::TakePlace(const Visitor& visitor, double cost, Asked& asked) {
+  if (!accounts_) return true;
+  std::lock_guard lock(shares_mutex_);
+  if (std::shared_ptr<const identity::Book> book = callers_->book(); book != shared_by_) {
+    accounts_->Take(Weights(*book));
+    shared_by_ = book;
+  }
+  auto verdict = accounts_->Ask(visitor.tenant, visitor.subject, cost, clock_.Now());
+  asked.retry_after_us = verdict.retry_after_us;
+  if (!verdict.granted) return false;
+  asked.place =
+      std::shared_ptr<void>(nullptr, [this, tenant = visitor.tenant, caller = visitor.subject](void*) {
+        std::lock_guard again(shares_mutex_);
+        accounts_->End(tenant, caller);
+      });
+  return true;
+}
+
+net::HttpResponse Front::Turned(const ApiError& error) const {
+  net::HttpResponse out = ErrorResponse(error);
+  // RFC 6750 section 3, with nothing of why.
+  if (error.status == 401) out.headers.emplace_back("WWW-Authenticate", "Bearer");
+  return out;
+}
+
+Front::Result Front::Route(const net::HttpMessage& request, const net::Exchange& exchange,
+                           const Visitor& visitor) {
   std::vector<std::string> steps = Steps(request.Path());
   bool reads = request.method == "GET" || request.method == "POST";
   if (steps.size() == 2 && steps[0] == "_search" && steps[1] == "scroll") {
-    if (request.method == "DELETE") return DropScroll(request);
-    if (reads) return DoScroll(request, exchange);
+    if (request.method == "DELETE") return DropScroll(request, visitor);
+    if (reads) return DoScroll(request, exchange, visitor);
   }
-  if (reads && steps.size() == 2 && steps[1] == "_search") return DoSearch(steps[0], request, exchange);
-  if (reads && steps.size() == 2 && steps[1] == "_count") return DoCount(steps[0], request, exchange);
-  if (reads && steps.size() == 2 && steps[1] == "_msearch") return DoMany(steps[0], request, exchange);
-  if (reads && steps.size() == 1 && steps[0] == "_msearch") return DoMany("", request, exchange);
+  if (reads && steps.size() == 2 && steps[1] == "_search")
+    return DoSearch(steps[0], request, exchange, visitor);
+  if (reads && steps.size() == 2 && steps[1] == "_count")
+    return DoCount(steps[0], request, exchange, visitor);
+  if (reads && steps.size() == 2 && steps[1] == "_msearch")
+    return DoMany(steps[0], request, exchange, visitor);
+  if (reads && steps.size() == 1 && steps[0] == "_msearch") return DoMany("", request, exchange, visitor);
   return BadRequest(fmt::format("[{} {}] is not supported", request.method, request.Path()));
 }
 
-std::optional<ApiError> Front::Locate(const std::string& index) const {
+// Every refusal is counted and, bounded in rate, written for the operators; the caller learns less.
+std::optional<ApiError> Front::LetIn(const net::HttpMessage& request, const net::Exchange& exchange,
+                                     Visitor& out) {
+  const std::string* header = request.Count("Authorization") == 1 ? request.Header("Authorization") : nullptr;
+  std::string from = net::PeerHost(exchange.client);
+  auto admitted = callers_->Admit(header, from, clock_.Now());
+  if (auto* visitor = std::get_if<Visitor>(&admitted)) {
+    out = std::move(*visitor);
+    return std::nullopt;
+  }
+  const auto& refusal = std::get<identity::Refusal>(admitted);
+  counters_.denied.Add();
+  std::int64_t unwritten = 0;
+  std::unique_lock lock(audit_mutex_);
+  bool write = audit_.Take(clock_.Now(), unwritten);
+  lock.unlock();
+  if (write)
+    log::Info("audit: refused from {}: {}{}{}", from, refusal.why, refusal.tenant.empty() ? "" : ", tenant ",
+              net::json::Quote(refusal.tenant).substr(refusal.tenant.empty() ? 2 : 0));
+  if (write && unwritten > 0) log::Info("audit: {} refusals before it were not written", unwritten);
+  if (refusal.unknown) return ApiError{401, "security_exception", "unknown caller", 0, false};
+  return Forbidden("not from here");
+}
+
+std::optional<ApiError> Front::Read(const net::HttpMessage& request, std::string_view body,
+                                    const Visitor& visitor, Search& out) const {
+  const identity::Rights* rights = visitor.rights.get();
+  static const std::string kNoFilter;
+  if (auto error = ReadSearch(request, body, options_, rights == nullptr ? kNoFilter : rights->filter, out))
+    return error;
+  if (rights == nullptr) return std::nullopt;
+  if (out.keep_alive_us > 0 && !rights->scrolls) return Forbidden("no scrolls");
+  out.allow_partial = out.allow_partial && rights->partial;
+  return std::nullopt;
+}
+
+// An index that is not the caller's is told of as one that does not exist.
+std::optional<ApiError> Front::Locate(const std::string& index, const Visitor& visitor) const {
   if (index.find_first_of(",*") != std::string::npos || index == "_all")
     return BadRequest("a search of several indices is not supported; name one");
-  if (!options_.indices.contains(index)) return NoSuchIndex(index);
+  bool allowed = visitor.rights == nullptr || visitor.rights->MayIndex(index);
+  if (!allowed || !options_.indices.contains(index)) return NoSuchIndex(index);
   return std::nullopt;
 }
 
 Front::Asked Front::Ask(const IndexOptions& index, std::string target, std::string body, why::FrontKind kind,
-                        bool whole, const net::HttpMessage& request, const net::Exchange& exchange) {
+                        bool whole, const net::HttpMessage& request, const net::Exchange& exchange,
+                        const Visitor& visitor) {
   core::QueryRequest query;
   query.class_index = whole ? index.whole_class_index : index.class_index;
   const auto& cls = config_.settings.classes[static_cast<std::size_t>(query.class_index)];
@@ -133,12 +227,14 @@
   asked.deadline_us = query.deadline_us;
   asked.index = &index;
   asked.whole = whole;
+  if (!TakePlace(visitor, static_cast<double>(index.parts.size()), asked)) return asked;
   asked.id = core_.Admit(std::move(query), asked.reply);
   if (asked.id) exchange.served->push_back({*asked.id, 0});
   return asked;
 }
 
 Front::Came Front::Await(const Asked& asked, const net::Exchange& exchange) {
+  if (asked.retry_after_us > 0) return Busy(asked.retry_after_us);
   if (!asked.id) {
     ApiError error = Unanswered("too many queries are open");
     error.retry_after_us = kBusyRetryUs;
@@ -178,16 +274,17 @@
 }
 
 Front::Asked Front::AskSearch(const std::string& index, const Search& search, const net::HttpMessage& request,
-                              const net::Exchange& exchange, why::FrontKind kind) {
+                              const net::Exchange& exchange, const Visitor& visitor, why::FrontKind kind) {
   std::string target = "/" + index + "/_search";
   if (!search.parameters.empty()) target += "?" + search.parameters.substr(1);
   // A page of a scroll with a shard missing would lose that shard's hits for good.
   bool whole = !search.allow_partial || search.keep_alive_us > 0;
-  return Ask(options_.indices.at(index), target, ShardBody(search), kind, whole, request, exchange);
+  return Ask(options_.indices.at(index), target, ShardBody(search), kind, whole, request, exchange, visitor);
 }
 
 Front::Result Front::FinishSearch(const std::string& index, const Search& search, const Asked& asked,
-                                  const net::Exchange& exchange, const std::string& scroll_id) {
+                                  const net::Exchange& exchange, const Visitor& visitor,
+                                  const std::string& scroll_id) {
   Came came = Await(asked, exchange);
   if (auto* error = std::get_if<ApiError>(&came)) return std::move(*error);
   if (std::holds_alternative<Gone>(came)) return Gone{};
@@ -196,7 +293,7 @@
   if (!merged)
     return ApiError{500, "search_phase_execution_exception", "hits came without their sort values", 0, false};
   if (search.keep_alive_us == 0) return merged->body + "}";
-  Cursor next{index, search, merged->hits == 0};
+  Cursor next{index, search, merged->hits == 0, visitor.tenant, visitor.rights};
   if (!merged->last_sort.empty()) next.search.search_after = merged->last_sort;
   auto id = scroll_id.empty() ? scrolls_.Open(std::move(next)) : scrolls_.Advance(scroll_id, std::move(next));
   if (!id) {
@@ -208,17 +305,18 @@
 }
 
 Front::Result Front::DoSearch(const std::string& index, const net::HttpMessage& request,
-                              const net::Exchange& exchange) {
-  if (auto error = Locate(index)) return *error;
+                              const net::Exchange& exchange, const Visitor& visitor) {
+  if (auto error = Locate(index, visitor)) return *error;
   Search search;
-  if (auto error = ReadSearch(request, request.body, options_, search)) return *error;
-  return FinishSearch(index, search, AskSearch(index, search, request, exchange, why::FrontKind::kSearch),
-                      exchange);
+  if (auto error = Read(request, request.body, visitor, search)) return *error;
+  return FinishSearch(index, search,
+                      AskSearch(index, search, request, exchange, visitor, why::FrontKind::kSearch), exchange,
+                      visitor);
 }
 
 Front::Result Front::DoCount(const std::string& index, const net::HttpMessage& request,
-                             const net::Exchange& exchange) {
-  if (auto error = Locate(index)) return *error;
+                             const net::Exchange& exchange, const Visitor& visitor) {
+  if (auto error = Locate(index, visitor)) return *error;
   bool query_only = true;
   bool ok = request.body.empty() || json::Members(request.body, [&](std::string_view name, std::string_view) {
               query_only = query_only && name == "query";
@@ -232,9 +330,20 @@
     if (!request.Parameter("q")) return BadRequest("only [q] is supported beside the body of a count");
     target += "?q=" + std::string(*request.Parameter("q"));
   }
+  std::string body = request.body;
+  if (visitor.rights != nullptr && !visitor.rights->filter.empty()) {
+    std::string query(json::Get(request.body, "query"));
+    std::string parameters = target.substr(std::min(target.size(), target.find('?')));
+    if (!parameters.empty()) parameters[0] = '&';
+    auto error = CheckConfined(request.body);
+    if (!error) error = Confine(visitor.rights->filter, query, parameters);
+    if (error) return *error;
+    target = "/" + index + "/_count";
+    body = "{\"query\":" + query + "}";
+  }
   // A count over a part of the shards is wrong rather than partial.
   Asked asked =
-      Ask(options_.indices.at(index), target, request.body, why::FrontKind::kCount, true, request, exchange);
+      Ask(options_.indices.at(index), target, body, why::FrontKind::kCount, true, request, exchange, visitor);
   Came came = Await(asked, exchange);
   if (auto* error = std::get_if<ApiError>(&came)) return std::move(*error);
   if (std::holds_alternative<Gone>(came)) return Gone{};
@@ -242,7 +351,8 @@
   return MergeCounts(answer, HowItCame(asked, answer, exchange));
 }
 
-Front::Result Front::DoScroll(const net::HttpMessage& request, const net::Exchange& exchange) {
+Front::Result Front::DoScroll(const net::HttpMessage& request, const net::Exchange& exchange,
+                              const Visitor& visitor) {
   std::string id, keep;
   if (auto value = request.Parameter("scroll_id")) id = Unescape(*value);
   if (auto value = request.Parameter("scroll")) keep = Unescape(*value);
@@ -255,17 +365,19 @@
   if (id.empty()) return BadRequest("[scroll_id] is missing");
   auto span = keep.empty() ? std::optional<core::Micros>(0) : ReadSpan(keep);
   if (!span) return BadRequest("[scroll] is not a time such as 1m");
-  auto cursor = scrolls_.Find(id, *span);
-  if (!cursor) {
+  auto cursor = scrolls_.Find(id, visitor.tenant, *span);
+  // A scroll goes on under the rights that it was begun with, or not at all.
+  if (!cursor || cursor->rights != visitor.rights) {
     return ApiError{404, "search_context_missing_exception", "no search context found for id [" + id + "]",
                     0};
   }
-  return FinishSearch(cursor->index, cursor->search,
-                      AskSearch(cursor->index, cursor->search, request, exchange, why::FrontKind::kScroll),
-                      exchange, id);
+  return FinishSearch(
+      cursor->index, cursor->search,
+      AskSearch(cursor->index, cursor->search, request, exchange, visitor, why::FrontKind::kScroll), exchange,
+      visitor, id);
 }
 
-Front::Result Front::DropScroll(const net::HttpMessage& request) {
+Front::Result Front::DropScroll(const net::HttpMessage& request, const Visitor& visitor) {
   std::vector<std::string> ids;
   std::string_view given = json::Get(request.body, "scroll_id");
   if (auto one = json::String(given)) ids.push_back(*one);
@@ -275,12 +387,13 @@
   });
   if (ids.empty()) return BadRequest("[scroll_id] is missing");
   std::size_t freed = 0;
-  for (const std::string& id : ids) freed += id == "_all" ? scrolls_.DropAll() : scrolls_.Drop(id) ? 1 : 0;
+  for (const std::string& id : ids)
+    freed += id == "_all" ? scrolls_.DropAll(visitor.tenant) : scrolls_.Drop(id, visitor.tenant);
   return fmt::format("{{\"succeeded\":true,\"num_freed\":{}}}", freed);
 }
 
 Front::Result Front::DoMany(const std::string& index, const net::HttpMessage& request,
-                            const net::Exchange& exchange) {
+                            const net::Exchange& exchange, const Visitor& visitor) {
   struct One {
     std::string index;
     Search search;
@@ -314,15 +427,15 @@
           return true;
         });
     if (!header) one.error = BadRequest("only [index] is supported in the header of a search");
-    if (!one.error) one.error = Locate(one.index);
-    if (!one.error) one.error = ReadSearch(bare, lines[i + 1], options_, one.search);
+    if (!one.error) one.error = Locate(one.index, visitor);
+    if (!one.error) one.error = Read(bare, lines[i + 1], visitor, one.search);
     if (!one.error)
-      one.asked = AskSearch(one.index, one.search, bare, exchange, why::FrontKind::kMultiSearch);
+      one.asked = AskSearch(one.index, one.search, bare, exchange, visitor, why::FrontKind::kMultiSearch);
   }
   std::string out = fmt::format("{{\"took\":{},\"responses\":[", 0);
   for (One& one : all) {
     Result result =
-        one.error ? Result(*one.error) : FinishSearch(one.index, one.search, *one.asked, exchange);
+        one.error ? Result(*one.error) : FinishSearch(one.index, one.search, *one.asked, exchange, visitor);
     if (std::holds_alternative<Gone>(result)) {
       for (One& left : all) {
         if (left.asked && left.asked->id) core_.Post(core::Hangup{*left.asked->id});
--- a/src/opensearch/front.h
+++ b/src/opensearch/front.h
@@ -3,9 +3,12 @@
 #define LIFTRUDDER_OPENSEARCH_FRONT_H_
 
 #include <atomic>
+#include <mutex>
 #include <variant>
 
 #include "core/core.h"
+#include "identity/callers.h"
+#include "limits/accounts.h"
 #include "net/server.h"
 #include "opensearch/merge.h"
 #include "opensearch/scroll.h"
@@ -16,7 +19,7 @@
 class Front : public net::Handler {
  public:
   Front(const config::Config& config, const Options& options, core::Core& core, const core::Clock& clock,
-        metrics::Counters& counters, why::Desk* desk);
+        metrics::Counters& counters, why::Desk* desk, identity::Callers* callers);
 
   std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override;
   net::HttpResponse Malformed(int status) override;
@@ -30,35 +33,55 @@
     std::optional<core::Id> id;  // nothing: refused at admission
     core::Micros deadline_us = 0;
     const IndexOptions* index = nullptr;
-    bool whole = false;  // an answer in part will not do
+    bool whole = false;               // an answer in part will not do
+    core::Micros retry_after_us = 0;  // refused at its tenant's account
+    std::shared_ptr<void> place;      // in that account, given back when this ends
   };
   struct Gone {};
+  // Who asks; without rights where callers are not told apart, and all may.
+  using Visitor = identity::Visitor;
   using Came = std::variant<core::FinalAnswer, ApiError, Gone>;
   using Result = std::variant<std::string, ApiError, Gone>;
 
   Asked Ask(const IndexOptions& index, std::string target, std::string body, why::FrontKind kind, bool whole,
-            const net::HttpMessage& request, const net::Exchange& exchange);
+            const net::HttpMessage& request, const net::Exchange& exchange, const Visitor& visitor);
   Came Await(const Asked& asked, const net::Exchange& exchange);
   Coming HowItCame(const Asked& asked, const core::FinalAnswer& answer, const net::Exchange& exchange) const;
   Asked AskSearch(const std::string& index, const Search& search, const net::HttpMessage& request,
-                  const net::Exchange& exchange, why::FrontKind kind);
+                  const net::Exchange& exchange, const Visitor& visitor, why::FrontKind kind);
   Result FinishSearch(const std::string& index, const Search& search, const Asked& asked,
-                      const net::Exchange& exchange, const std::string& scroll_id = {});
-  std::optional<ApiError> Locate(const std::string& index) const;
+                      const net::Exchange& exchange, const Visitor& visitor,
+                      const std::string& scroll_id = {});
+  std::optional<ApiError> Locate(const std::string& index, const Visitor& visitor) const;
+  std::optional<ApiError> LetIn(const net::HttpMessage& request, const net::Exchange& exchange, Visitor& out);
+  std::optional<ApiError> Read(const net::HttpMessage& request, std::string_view body, const Visitor& visitor,
+                               Search& out) const;
+  // Takes a place for a query of so much work; false with the time to come back where there is none.
+  bool TakePlace(const Visitor& visitor, double cost, Asked& asked);
+  net::HttpResponse Turned(const ApiError& error) const;
 
-  Result DoSearch(const std::string& index, const net::HttpMessage& request, const net::Exchange& exchange);
-  Result DoCount(const std::string& index, const net::HttpMessage& request, const net::Exchange& exchange);
-  Result DoScroll(const net::HttpMessage& request, const net::Exchange& exchange);
-  Result DropScroll(const net::HttpMessage& request);
-  Result DoMany(const std::string& index, const net::HttpMessage& request, const net::Exchange& exchange);
-  Result Route(const net::HttpMessage& request, const net::Exchange& exchange);
+  Result DoSearch(const std::string& index, const net::HttpMessage& request, const net::Exchange& exchange,
+                  const Visitor& visitor);
+  Result DoCount(const std::string& index, const net::HttpMessage& request, const net::Exchange& exchange,
+                 const Visitor& visitor);
+  Result DoScroll(const net::HttpMessage& request, const net::Exchange& exchange, const Visitor& visitor);
+  Result DropScroll(const net::HttpMessage& request, const Visitor& visitor);
+  Result DoMany(const std::string& index, const net::HttpMessage& request, const net::Exchange& exchange,
+                const Visitor& visitor);
+  Result Route(const net::HttpMessage& request, const net::Exchange& exchange, const Visitor& visitor);
 
   const config::Config& config_;
   const Options& options_;
   core::Core& core_;
   const core::Clock& clock_;
   metrics::Counters& counters_;
-  why::Desk* desk_;  // null: nothing is recorded
+  why::Desk* desk_;             // null: nothing is recorded
+  identity::Callers* callers_;  // null: callers are not told apart
+  std::mutex audit_mutex_;
+  identity::Audit audit_;
+  std::mutex shares_mutex_;
+  std::shared_ptr<const identity::Book> shared_by_;  // whose weights the accounts have
+  std::optional<limits::Accounts> accounts_;
   Scrolls scrolls_;
   std::atomic<std::uint64_t> asked_{0};
 };
--- a/src/opensearch/scroll.cpp
+++ b/src/opensearch/scroll.cpp
@@ -1,6 +1,7 @@
 #include "opensearch/scroll.h"
 
 #include <fmt/format.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <charconv>
@@ -30,19 +31,32 @@
 std::optional<std::string> Scrolls::Open(Cursor next) {
   std::lock_guard lock(mutex_);
   Expire();
-  if (entries_.size() >= options_.max_scrolls) return std::nullopt;
-  std::string stem = fmt::format("{:016x}-{}", seed_, ++opened_);
+  auto owned =
+      std::ranges::count_if(entries_, [&](const auto& one) { return one.second.owner == next.owner; });
+  if (entries_.size() >= options_.max_scrolls || static_cast<std::size_t>(owned) >= most_each_)
+    return std::nullopt;
+  // Hashed, so that an id does not tell how many others have opened.
+  ++opened_;
+  XXH128_hash_t hash = XXH3_128bits_withSeed(&opened_, sizeof opened_, seed_);
+  std::string stem = fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
   Entry& entry = entries_[stem];
+  entry.owner = next.owner;
   entry.keep_alive_us = next.search.keep_alive_us;
   entry.expires_us = clock_.Now() + entry.keep_alive_us;
   entry.pages[1] = std::move(next);
   return stem + "-1";
 }
 
-std::optional<Cursor> Scrolls::Find(const std::string& id, core::Micros keep_alive_us) {
+Scrolls::Entries::iterator Scrolls::Own(const std::string& id, const std::string& owner) {
+  auto entry = entries_.find(Stem(id));
+  return entry != entries_.end() && entry->second.owner == owner ? entry : entries_.end();
+}
+
+std::optional<Cursor> Scrolls::Find(const std::string& id, const std::string& owner,
+                                    core::Micros keep_alive_us) {
   std::lock_guard lock(mutex_);
   Expire();
-  auto entry = entries_.find(Stem(id));
+  auto entry = Own(id, owner);
   auto page = Page(id);
   if (entry == entries_.end() || !page) return std::nullopt;
   if (keep_alive_us > 0) entry->second.keep_alive_us = std::min(keep_alive_us, options_.max_keep_alive_us);
@@ -54,7 +68,7 @@
 
 std::optional<std::string> Scrolls::Advance(const std::string& id, Cursor next) {
   std::lock_guard lock(mutex_);
-  auto entry = entries_.find(Stem(id));
+  auto entry = Own(id, next.owner);
   auto page = Page(id);
   if (entry == entries_.end() || !page) return std::nullopt;
   auto& pages = entry->second.pages;
@@ -63,14 +77,17 @@
   return fmt::format("{}-{}", entry->first, *page + 1);
 }
 
-bool Scrolls::Drop(const std::string& id) {
+bool Scrolls::Drop(const std::string& id, const std::string& owner) {
   std::lock_guard lock(mutex_);
-  return entries_.erase(Stem(id)) > 0;
+  auto entry = Own(id, owner);
+  if (entry == entries_.end()) return false;
+  entries_.erase(entry);
+  return true;
 }
 
-std::size_t Scrolls::DropAll() {
+std::size_t Scrolls::DropAll(const std::string& owner) {
   std::lock_guard lock(mutex_);
-  return std::exchange(entries_, {}).size();
+  return std::erase_if(entries_, [&owner](const auto& one) { return one.second.owner == owner; });
 }
 
 }  // namespace liftrudder::opensearch
--- a/src/opensearch/search.cpp
+++ b/src/opensearch/search.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 
 #include "net/json.h"
+#include "opensearch/guard.h"
 
 namespace liftrudder::opensearch {
 namespace {
@@ -14,7 +15,7 @@
 namespace json = net::json;
 
 constexpr std::string_view kPassedMembers[] = {
-    "query",        "_source",   "stored_fields", "fields",              "docvalue_fields", "script_fields",
+    "_source",   "stored_fields", "fields",              "docvalue_fields", "script_fields",
     "highlight",    "min_score", "explain",       "version",             "post_filter",     "track_total_hits",
     "track_scores", "timeout",   "runtime_mappings", "seq_no_primary_term"};
 constexpr std::string_view kPassedParameters[] = {
@@ -117,6 +118,8 @@
   } else if (name == "search_after") {
     if (!value.starts_with('[')) return BadRequest("[search_after] must be an array");
     out.search_after = value;
+  } else if (name == "query") {
+    out.query = value;
   } else if (Listed(name, kPassedMembers)) {
     fmt::format_to(std::back_inserter(out.passed), ",\"{}\":{}", name, value);
   } else {
@@ -160,7 +163,7 @@
 }
 
 std::optional<ApiError> ReadSearch(const net::HttpMessage& request, std::string_view body,
-                                   const Options& options, Search& out) {
+                                   const Options& options, const std::string& filter, Search& out) {
   std::optional<ApiError> error;
   bool sorted = false;
   auto mark = request.target.find('?');
@@ -180,6 +183,11 @@
     if (error) return error;
     if (!ok) return ApiError{400, "parsing_exception", "the body is not a JSON object", 0, false};
   }
+  if (!filter.empty()) {
+    error = CheckConfined(body);
+    if (!error) error = Confine(filter, out.query, out.parameters);
+    if (error) return error;
+  }
   if (out.from + out.size > options.result_window) {
     return BadRequest(fmt::format("result window is too large: from + size must be at most {}; use a scroll "
                                   "or search_after to go deeper",
@@ -202,6 +210,7 @@
   // With a sort spelled out holders score only when told to, and by_score needs the best score.
   if (search.by_score && search.passed.find("\"track_scores\":") == std::string::npos)
     out += ",\"track_scores\":true";
+  if (!search.query.empty()) out += ",\"query\":" + search.query;
   return out + search.passed + "}";
 }
 
--- a/tests/identity_test.cpp
+++ b/tests/identity_test.cpp
@@ -1,10 +1,6 @@
 // Who is calling: the readers of tokens and key sets, the life of keys, and the gate with its cache. No
 // program, no socket; the time is handed in.
 #define CATCH_CONFIG_MAIN
-#include <openssl/core_names.h>
-#include <openssl/ecdsa.h>
-#include <openssl/evp.h>
-
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -12,8 +8,10 @@
 
 #include "identity/base64url.h"
 #include "identity/gate.h"
+#include "signer.h"
 
 using namespace liftrudder::identity;
+using liftrudder::tests::Signer;
 using Json = nlohmann::json;
 
 namespace {
@@ -22,67 +20,6 @@
 constexpr Micros kNow = 1'800'000'000 * kSecond;
 const Rules kRules{"https://id.example.org", "gatherer", 5 * kSecond, 3600 * kSecond};
 
-// A signer of the test's own: what the issuer of tokens would hold.
-class Signer {
- public:
-  explicit Signer(bool ecdsa)
-      : ecdsa_(ecdsa),
-        key_(ecdsa ? EVP_EC_gen("P-256") : EVP_PKEY_Q_keygen(nullptr, nullptr, "ED25519"), EVP_PKEY_free) {}
-
-  Json Jwk(const std::string& kid) const {
-    if (!ecdsa_) {
-      std::string x(32, '\0');
-      std::size_t size = x.size();
-      EVP_PKEY_get_raw_public_key(key_.get(), reinterpret_cast<unsigned char*>(x.data()), &size);
-      return {{"kid", kid}, {"kty", "OKP"}, {"crv", "Ed25519"}, {"x", EncodeBase64Url(x)}};
-    }
-    unsigned char point[65];
-    std::size_t size = 0;
-    EVP_PKEY_get_octet_string_param(key_.get(), OSSL_PKEY_PARAM_ENCODED_PUBLIC_KEY, point, sizeof point,
-                                    &size);
-    std::string all(reinterpret_cast<char*>(point), size);
-    return {{"kid", kid},
-            {"kty", "EC"},
-            {"crv", "P-256"},
-            {"x", EncodeBase64Url(all.substr(1, 32))},
-            {"y", EncodeBase64Url(all.substr(33))}};
-  }
-
-  std::string Sign(const std::string& text) const {
-    std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> context(EVP_MD_CTX_new(), EVP_MD_CTX_free);
-    EVP_DigestSignInit(context.get(), nullptr, ecdsa_ ? EVP_sha256() : nullptr, nullptr, key_.get());
-    std::string out(128, '\0');
-    std::size_t size = out.size();
-    EVP_DigestSign(context.get(), reinterpret_cast<unsigned char*>(out.data()), &size,
-                   reinterpret_cast<const unsigned char*>(text.data()), text.size());
-    out.resize(size);
-    if (!ecdsa_) return out;
-    const auto* der = reinterpret_cast<const unsigned char*>(out.data());
-    std::unique_ptr<ECDSA_SIG, decltype(&ECDSA_SIG_free)> both(
-        d2i_ECDSA_SIG(nullptr, &der, static_cast<long>(size)), ECDSA_SIG_free);
-    std::string raw(64, '\0');
-    auto* bytes = reinterpret_cast<unsigned char*>(raw.data());
-    BN_bn2binpad(ECDSA_SIG_get0_r(both.get()), bytes, 32);
-    BN_bn2binpad(ECDSA_SIG_get0_s(both.get()), bytes + 32, 32);
-    return raw;
-  }
-
-  std::string Raw(const std::string& header, const std::string& claims) const {
-    std::string text = EncodeBase64Url(header) + "." + EncodeBase64Url(claims);
-    return text + "." + EncodeBase64Url(Sign(text));
-  }
-  std::string Header(const std::string& kid) const {
-    return Json{{"alg", ecdsa_ ? "ES256" : "EdDSA"}, {"kid", kid}}.dump();
-  }
-  std::string Token(const std::string& kid, const Json& claims) const {
-    return Raw(Header(kid), claims.dump());
-  }
-
- private:
-  bool ecdsa_;
-  std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)> key_;
-};
-
 Json Claims() {
   return {{"iss", kRules.issuer},       {"aud", kRules.audience}, {"exp", kNow / kSecond + 60},
           {"nbf", kNow / kSecond - 60}, {"tenant", "north"},      {"sub", "teacher-7"}};
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -20,11 +20,11 @@
 #include "dns/zone.h"
 #include "net/http.h"
 #include "net/socket.h"
+#include "signer.h"
 
 namespace liftrudder::tests {
 namespace {
 
-using Json = nlohmann::json;
 using net::Fd;
 using net::HttpParser;
 
@@ -149,7 +149,11 @@
       std::string method, target, body;
       words >> method >> target;
       std::getline(words >> std::ws, body);
-      Write(Client(who), Request(method, target, "", Plain(body)));
+      Write(Client(who), Request(method, target, bearers_[who], Plain(body)));
+    } else if (verb == "keys") {
+      WriteKeys(who, words);
+    } else if (verb == "token") {
+      Bear(who, words);
     } else if (verb == "send") {
       bool holder = holders_.contains(Name(who));
       Write(holder ? Asked(holders_.at(Name(who)), rest) : Client(who), holder ? Framed(Plain(rest)) : Plain(rest));
@@ -422,6 +426,30 @@
     kept_[name] = last_.substr(from, last_.find(suffix, from) - from);
   }
 
+  // KID:STATE each; put in place by renaming, as the operators' page says.
+  void WriteKeys(std::string word, std::istringstream& words) {
+    Json keys = Json::array();
+    do {
+      std::string kid = word.substr(0, word.find(':'));
+      keys.push_back(signers_.try_emplace(kid, signers_.size() % 2 == 1).first->second.Jwk(kid));
+      if (kid != word) keys.back()["state"] = word.substr(kid.size() + 1);
+    } while (words >> word);
+    std::ofstream(folder_ + "/keys.new") << Json{{"keys", keys}};
+    std::filesystem::rename(folder_ + "/keys.new", folder_ + "/keys.json");
+  }
+
+  // `who` carries this token from now on; `kid` may be one that no key set has had.
+  void Bear(const std::string& who, std::istringstream& words) {
+    std::string kid, tenant;
+    std::int64_t lasts = 60;
+    words >> kid >> tenant >> lasts;
+    std::int64_t now = std::time(nullptr);
+    Json claims = {{"iss", "issuer"},   {"aud", "gatherer"}, {"exp", now + lasts}, {"nbf", now - 60},
+                   {"tenant", tenant}, {"sub", "caller of " + tenant}};
+    const Signer& signer = signers_.try_emplace(kid, signers_.size() % 2 == 1).first->second;
+    bearers_[who] = "Authorization: Bearer " + signer.Token(kid, claims) + "\r\n";
+  }
+
   void Cut(Peer& peer, const std::string& how) {
     for (Line& line : peer.lines) {
       linger hard{1, 0};
@@ -558,6 +586,8 @@
   Peer discovery_;
   std::map<std::string, Peer> holders_, clients_;
   std::map<std::string, std::string> aliases_, kept_;
+  std::map<std::string, Signer> signers_;        // by kid
+  std::map<std::string, std::string> bearers_;  // the header line that a client's requests carry
   std::chrono::steady_clock::time_point told_;
 };
 
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -15,6 +15,8 @@
 //   deny discovery BYTES     the next watch gets these bytes and its connection ends
 //   stall discovery BYTES    the next watch gets these bytes, and nothing more on a connection that stays
 //   log once TEXT            the program's log says this, and only once so far
+//   keys KID[:STATE] ...     the key set that callers' tokens are held against is this from now on
+//   token C KID TENANT [S]   client C's `http` requests carry a token of that key, good for S seconds (60)
 //   list NAME STATE          discovery tells of a holder: ready, draining or gone
 //   expect X GLOB            the next message at X matches (a holder's name, a client's, or any: the holder
 //                            that gets one next, called `it` from then on, and the next other one `other`)
