--- /dev/null
+++ b/src/app/identity_command.cpp
@@ -0,0 +1,126 @@
+#include "app/identity_command.h"
+
+#include <fmt/format.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdio>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <stdexcept>
+
+#include "config/config.h"
+#include "identity/base64url.h"
+#include "identity/strict_json.h"
+#include "identity/token.h"
+
+namespace liftrudder::app {
+namespace {
+
+using identity::KeySet;
+using Keys = std::shared_ptr<const KeySet>;
+
+constexpr int kGood = 0, kNotGood = 1, kUnread = 2;
+
+struct Options {
+  std::string file, before, issuer, audience;
+};
+
+// Says what is wrong with it and gives nothing.
+Keys ReadKeys(const std::string& file) {
+  auto read = KeySet::Read(config::ReadFile(file));
+  if (const auto* wrong = std::get_if<std::string>(&read)) {
+    fmt::print("{}: {}\n", file, *wrong);
+    return nullptr;
+  }
+  return std::get<Keys>(read);
+}
+
+int CheckKeys(const Options& options) {
+  Keys keys = ReadKeys(options.file);
+  if (keys == nullptr) return kNotGood;
+  for (const auto& [kid, key] : keys->keys()) {
+    fmt::print("{} {} {}", kid, key.algorithm == identity::Algorithm::kEdDsa ? "EdDSA" : "ES256",
+               identity::Name(key.state));
+    if (key.state == identity::KeyState::kRetiring) fmt::print(" until {}", key.until_us / 1'000'000);
+    fmt::print("\n");
+  }
+  if (options.before.empty()) return kGood;
+  Keys before = ReadKeys(options.before);
+  if (before == nullptr) return kNotGood;
+  identity::KnownKids known;
+  known.Take(*before);
+  if (auto wrong = known.Take(*keys)) {
+    fmt::print("{}\n", *wrong);
+    return kNotGood;
+  }
+  for (const std::string& change : identity::Differences(*before, *keys)) fmt::print("{}\n", change);
+  return kGood;
+}
+
+// Header and claims, and without the signature nothing that lets anybody in.
+int InspectToken(const Options& options) {
+  std::string token{std::istreambuf_iterator<char>(std::cin), std::istreambuf_iterator<char>()};
+  while (!token.empty() && (token.back() == '\n' || token.back() == '\r')) token.pop_back();
+  std::string_view rest = token;
+  for (const char* part : {"header", "claims"}) {
+    auto text = identity::DecodeBase64Url(rest.substr(0, rest.find('.')));
+    rest.remove_prefix(
+        std::min(rest.size(), rest.find('.') == std::string_view::npos ? rest.size() : rest.find('.') + 1));
+    auto json =
+        text ? identity::ReadStrictJson(*text, identity::kMostToken) : std::string("it is not base64url");
+    if (const auto* wrong = std::get_if<std::string>(&json)) {
+      fmt::print("{}: {}\n", part, *wrong);
+    } else {
+      fmt::print("{}: {}\n", part, std::get<nlohmann::json>(json).dump());
+    }
+  }
+  if (options.file.empty()) return kGood;
+  Keys keys = ReadKeys(options.file);
+  if (keys == nullptr) return kNotGood;
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  auto verified = identity::Verify(token, *keys, {options.issuer, options.audience},
+                                   std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+  if (const auto* denial = std::get_if<identity::Denial>(&verified)) {
+    fmt::print("not good: {}\n", identity::Name(*denial));
+    return kNotGood;
+  }
+  const auto& caller = std::get<identity::Caller>(verified);
+  fmt::print("good until {}: tenant {}, subject {}\n", caller.until_us / 1'000'000,
+             nlohmann::json(caller.tenant).dump(), nlohmann::json(caller.subject).dump());
+  return kGood;
+}
+
+int Guarded(int (*what)(const Options&), const Options& options) try {
+  return what(options);
+} catch (const std::runtime_error& error) {
+  fmt::print(stderr, "{}\n", error.what());
+  return kUnread;
+}
+
+}  // namespace
+
+void AddIdentityCommands(CLI::App& app, std::function<int()>& run) {
+  auto options = std::make_shared<Options>();
+  const char* codes = "Ends with 0; 1: it is not good, and why; 2: a file that cannot be read.";
+  CLI::App* keys = app.add_subcommand("keys", "Key sets that callers' tokens are held against");
+  keys->require_subcommand(1);
+  CLI::App* check = keys->add_subcommand("check", "Whether a set can be used, and the state of each key");
+  check->add_option("file", options->file, "A JWK set")->required();
+  check->add_option("--before", options->before, "The set that it is to replace: says what changes");
+  check->footer(codes);
+  check->callback([options, &run] { run = [options] { return Guarded(CheckKeys, *options); }; });
+  CLI::App* token = app.add_subcommand("token", "Callers' tokens");
+  token->require_subcommand(1);
+  CLI::App* inspect = token->add_subcommand(
+      "inspect", "What a token says, read from standard input; with a key set, whether it is good now");
+  auto* file = inspect->add_option("--keys", options->file, "A JWK set");
+  auto* issuer = inspect->add_option("--issuer", options->issuer, "As in the operator's file");
+  auto* audience = inspect->add_option("--audience", options->audience, "As in the operator's file");
+  file->needs(issuer)->needs(audience);
+  inspect->footer(codes);
+  inspect->callback([options, &run] { run = [options] { return Guarded(InspectToken, *options); }; });
+}
+
+}  // namespace liftrudder::app
--- a/src/identity/rights.cpp
+++ b/src/identity/rights.cpp
@@ -1,6 +1,8 @@
 #include "identity/rights.h"
 
 #include <fmt/format.h>
+
+#include <algorithm>
 extern "C" {
 #include <libcidr.h>
 }
@@ -154,6 +156,9 @@
   if (!reader.wrong.empty()) return reader.wrong;
   if (tenants->size() > kMostTenants) reader.Wrong(fmt::format("[tenants] has over {}", kMostTenants));
   for (const auto& [name, value] : tenants->items()) {
+    auto control = [](char c) { return static_cast<unsigned char>(c) < 0x20; };
+    if (name.empty() || name.size() > kMostClaim || std::ranges::any_of(name, control))
+      return fmt::format("identity: a tenant's name has 1 to {} bytes, none a control character", kMostClaim);
     auto rights = std::make_shared<Rights>();
     std::string wrong = ReadRights(value, fmt::format("identity: tenant '{}'", name), *rights);
     if (!wrong.empty()) return wrong;
--- a/src/limits/accounts.cpp
+++ b/src/limits/accounts.cpp
@@ -15,7 +15,7 @@
 
 std::string Key(std::string_view tenant, std::string_view caller) {
   std::string out(tenant);
-  out += '\0';  // neither name has one: they come from JSON texts that are bounded and printed
+  out += '\0';  // no tenant's name has one: the operator's file is checked for it
   return out.append(caller);
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <stdexcept>
 
+#include "app/identity_command.h"
 #include "app/identity_files.h"
 #include "app/why_command.h"
 #include "config/config.h"
@@ -176,6 +177,7 @@
                  "Serve the search API as this file says, in place of the platform");
   std::function<int()> run;
   lr::app::AddWhyCommand(app, run);
+  lr::app::AddIdentityCommands(app, run);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
--- a/tests/guard_test.cpp
+++ b/tests/guard_test.cpp
@@ -179,6 +179,7 @@
         {"/tenants/north/networks", Json::array({"10.0.0.0/33"}), "tenant 'north': [networks] '10.0.0.0/33'"},
         {"/tenants/north/networks", Json::array(), "names none"},
         {"/tenants/north/indices", Json("x"), "[indices]"},
+        {"/tenants/a\nb", Json::object(), "control character"},
         {"/tenants/north/filter", Json::object(), "[filter]"},
         {"/tenants/north/pages", Json(1), "[pages]"},
         {"/skewS", Json(301), "[skewS]"},
--- a/tests/signer.h
+++ b/tests/signer.h
@@ -6,6 +6,7 @@
 #include <openssl/ecdsa.h>
 #include <openssl/evp.h>
 
+#include <array>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -23,6 +24,12 @@
       : ecdsa_(ecdsa),
         key_(ecdsa ? EVP_EC_gen("P-256") : EVP_PKEY_Q_keygen(nullptr, nullptr, "ED25519"), EVP_PKEY_free) {}
 
+  // Always the same key pair, for inputs that are kept.
+  explicit Signer(const std::array<unsigned char, 32>& ed25519)
+      : ecdsa_(false),
+        key_(EVP_PKEY_new_raw_private_key(EVP_PKEY_ED25519, nullptr, ed25519.data(), ed25519.size()),
+             EVP_PKEY_free) {}
+
   Json Jwk(const std::string& kid) const {
     if (!ecdsa_) {
       std::string x(32, '\0');
