A bad holder is let back after a good trial part or two, not three

Ruled out: the detection itself. Line at fault: kBadMost and kBadWell in src/rules.cpp; what a holder can do was missed for longer than its failures hurt.

Group test: a holder that fails half gets 0.43 and 0.49 of a good one's parts (0.58 and 0.53 before Page's test, and the test's bound is 0.5), and is back sooner: 0.83 to 1.00 after 45 s, bound 0.75.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -53,7 +53,7 @@
 // Page's test, as each of a large group meets a replica seldom: the log of how much likelier an outcome is
 // from one that fails this share than from any is added up from 0. Sick from kBadFrom on (two failures among
 constexpr double kBadShare = 0.5;  // five outcomes where few fail), counted up to kBadMost, and let back by a
-constexpr double kBadFrom = 4, kBadMost = 5, kBadWell = 3.5;  // good trial part below kBadWell
+constexpr double kBadFrom = 4, kBadMost = 4.5, kBadWell = 4;  // good trial part below kBadWell
 constexpr double kFleetLeast = 0.02;   // what the fleet fails is taken for no less, and each outcome's weight
 constexpr double kFleetGain = 0.01;    // in it is this: so a few failures do not condemn a good one
 constexpr double kLossMemory = 4;      // least aims after which a replica lost unannounced counts 1/e
