Accounts draw their jitter from Backoff; bounds and claims told as they are

Read again: limits/accounts had a generator of its own beside limits/backoff's, looked for the longest unused caller also when there was room, guard had a bound of its own on bodies that HTTP bounds already, and the audit line cut its quotes off by a trick. Each uses what there is.

--- a/src/limits/accounts.cpp
+++ b/src/limits/accounts.cpp
@@ -22,17 +22,10 @@
 }  // namespace
 
 Accounts::Accounts(ShareSettings settings, std::uint64_t seed)
-    : settings_(std::move(settings)), random_(seed) {
+    : settings_(std::move(settings)), spread_(1, 1, seed) {
   Take(settings_.weights);
 }
 
-double Accounts::Unit() {  // splitmix64
-  std::uint64_t z = random_ += 0x9e3779b97f4a7c15ULL;
-  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
-  return static_cast<double>((z ^ (z >> 31)) >> 11) * 0x1.0p-53;
-}
-
 void Accounts::Take(std::map<std::string, double, std::less<>> weights) {
   double sum = 0;
   for (const auto& [name, weight] : weights) sum += weight;
@@ -68,11 +61,13 @@
   auto found = callers_.find(key);
   if (found == callers_.end()) {
     // The one longest unused makes room; one with a query open keeps its account, and those are bounded.
-    auto oldest = std::ranges::find_if(
-        by_age_, [&](const std::string& one) { return callers_.find(one)->second.account.open == 0; });
-    if (callers_.size() >= kMostCallers && oldest != by_age_.end()) {
-      callers_.erase(*oldest);
-      by_age_.erase(oldest);
+    if (callers_.size() >= kMostCallers) {
+      auto idle = [&](const std::string& one) { return callers_.find(one)->second.account.open == 0; };
+      auto oldest = std::ranges::find_if(by_age_, idle);
+      if (oldest != by_age_.end()) {
+        callers_.erase(*oldest);
+        by_age_.erase(oldest);
+      }
     }
     by_age_.push_back(key);
     found = callers_.emplace(key, Caller{{rate * kBurstS, now_us, 0}, std::prev(by_age_.end())}).first;
@@ -87,8 +82,9 @@
   Micros from = std::max(tenant.promised_us, now_us);
   Micros until = from + static_cast<Micros>(std::ceil(missing / rate * 1e6));
   tenant.promised_us = std::min(until, now_us + settings_.most_retry_us);
-  double wait = static_cast<double>(until - now_us) * (1 + kSpread * Unit());
-  return std::clamp<Micros>(static_cast<Micros>(wait), 1, settings_.most_retry_us);
+  Micros wait = until - now_us;
+  wait += spread_.Within(static_cast<Micros>(kSpread * static_cast<double>(wait)));
+  return std::clamp<Micros>(wait, 1, settings_.most_retry_us);
 }
 
 Accounts::Verdict Accounts::Ask(std::string_view tenant_name, std::string_view caller_name, double cost,
--- a/src/limits/accounts.h
+++ b/src/limits/accounts.h
@@ -16,6 +16,8 @@
 #include <string_view>
 #include <vector>
 
+#include "limits/backoff.h"
+
 namespace liftrudder::limits {
 
 struct ShareSettings {
@@ -71,10 +73,9 @@
   void FillAll(Micros now_us);
   Caller& Known(const std::string& key, double rate, Micros now_us);
   Micros Promise(Tenant& tenant, double missing, double rate, Micros now_us);
-  double Unit();
 
   const ShareSettings settings_;
-  std::uint64_t random_;
+  Backoff spread_;  // for its jitter alone
   std::map<std::string, Tenant, std::less<>> tenants_;
   std::map<std::string, Caller, std::less<>> callers_;  // by tenant and caller
   std::list<std::string> by_age_;                       // the longest unused first
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -171,9 +171,8 @@
   std::unique_lock lock(audit_mutex_);
   bool write = audit_.Take(clock_.Now(), unwritten);
   lock.unlock();
-  if (write)
-    log::Info("audit: refused from {}: {}{}{}", from, refusal.why, refusal.tenant.empty() ? "" : ", tenant ",
-              net::json::Quote(refusal.tenant).substr(refusal.tenant.empty() ? 2 : 0));
+  std::string tenant = refusal.tenant.empty() ? "" : ", tenant " + json::Quote(refusal.tenant);
+  if (write) log::Info("audit: refused from {}: {}{}", from, refusal.why, tenant);
   if (write && unwritten > 0) log::Info("audit: {} refusals before it were not written", unwritten);
   if (refusal.unknown) return ApiError{401, "security_exception", "unknown caller", 0, false};
   return Forbidden("not from here");
--- a/src/opensearch/guard.cpp
+++ b/src/opensearch/guard.cpp
@@ -14,7 +14,6 @@
 using Json = nlohmann::json;
 using Names = std::span<const std::string_view>;
 
-constexpr std::size_t kMostBody = 1024 * 1024;
 constexpr std::size_t kMostDepth = 32;
 
 // Queries about the document's own fields, without one inside. Left out on purpose: those that fetch another
@@ -131,7 +130,7 @@
 
 std::optional<ApiError> CheckConfined(std::string_view body) {
   if (body.empty()) return std::nullopt;
-  auto read = identity::ReadStrictJson(body, kMostBody, kMostDepth);
+  auto read = identity::ReadStrictJson(body, net::kMaxBodyBytes, kMostDepth);
   if (const auto* wrong = std::get_if<std::string>(&read))
     return ApiError{400, "parsing_exception", "the body: " + *wrong, 0, false};
   const Json& json = std::get<Json>(read);
