A gatherer asks its own agent for the list at once; only a shared list service is waited for

Gatherers are killed at 10.71 s and are back from 12.26 s. From one gatherer's log:

12.263 info n0 listens on 127.10.0.1:9000 14.819 info holder list 8: 59 entries

Over the fleet: 208 restarted, first list 0.11 to 3.04 s after the start (median 1.60), 140 of them after more than 1 s.

`DiscoveryWatch::Loop` waited before its first call, and after a loss up to 5 s, as if the call loaded a service shared by the group (`kStartSlice` x groupSize, at most 3 s).

Ruled out: gatherers that were not restarted (none of their lists came late), the second look before the first byte (the directory did not have the entry yet).

Change: the waits are decided in src/limits/list_waits from the settings. With an agent: none at the start, then a 40th to a quarter of `stopSendingWithinUs`. With a service that must be asked: as before. Test: fleet_test, waits of 300 seeds against the drain's bound for groups of 1 to 3,000 (before: 3 s, 5 s).

--- /dev/null
+++ b/src/limits/list_waits.h
@@ -0,0 +1,21 @@
+// How long a gatherer waits before it asks for the holder list: at its start, and after its watch was lost. Decides
+// from the settings alone, without clock, randomness or I/O; the waits are bounds under which Backoff draws. For
+// any thread.
+#ifndef LIFTRUDDER_LIMITS_LIST_WAITS_H_
+#define LIFTRUDDER_LIMITS_LIST_WAITS_H_
+
+#include "tinsail/tinsail.h"
+
+namespace liftrudder::limits {
+
+struct ListWaits {
+  tinsail::Micros start_us = 0;  // before the first call of all
+  tinsail::Micros first_us = 0;  // after the first failure; doubled by each further one
+  tinsail::Micros most_us = 0;   // up to this one
+};
+
+ListWaits ListWaitsOf(const tinsail::Settings& settings);
+
+}  // namespace liftrudder::limits
+
+#endif  // LIFTRUDDER_LIMITS_LIST_WAITS_H_
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -14,23 +14,6 @@
 // The watch beats every 2 s; what it had to tell counts as told 6 s later, so a silent one is left soon.
 constexpr core::Micros kSilence = 3'000'000;
 constexpr core::Micros kSlice = 200'000;
-// Discovery is one service for the whole group and turns away what has waited too long. Asked again by all at
-// once it drowns in the asking and tells nobody anything. So the waits grow with the group: for each gatherer
-// of it a slice of time after the first failure and a larger one at most, both bounded by shares of the time
-// within which the settings want it asked, and a slice before the first call of all.
-constexpr core::Micros kFirstSlice = 50'000;
-constexpr core::Micros kMostSlice = 200'000;
-constexpr core::Micros kStartSlice = 30'000;
-constexpr double kFirstShare = 1.0 / 8;
-constexpr double kMostShare = 1.0 / 2;
-constexpr double kStartShare = 0.3;
-constexpr core::Micros kAskWithin = 10'000'000;  // where the settings say nothing
-
-core::Micros Span(const tinsail::Settings& settings, core::Micros slice, double share) {
-  core::Micros within = settings.ask_within_us > 0 ? settings.ask_within_us : kAskWithin;
-  return std::min(slice * settings.group_size,
-                  static_cast<core::Micros>(share * static_cast<double>(within)));
-}
 
 }  // namespace
 
@@ -40,8 +23,8 @@
       directory_(directory),
       core_(core),
       clock_(clock),
-      backoff_(Span(config.settings, kFirstSlice, kFirstShare), Span(config.settings, kMostSlice, kMostShare),
-               config.seed),
+      waits_(limits::ListWaitsOf(config.settings)),
+      backoff_(waits_.first_us, waits_.most_us, config.seed),
       address_(config.discovery),
       thread_([this] { Loop(); }) {}
 
@@ -73,7 +56,7 @@
 
 void DiscoveryWatch::Loop() {
   std::string address = Address();
-  Pause(backoff_.Within(Span(config_.settings, kStartSlice, kStartShare)), address);
+  Pause(backoff_.Within(waits_.start_us), address);
   while (!stopping_) {
     address = Address();
     std::string why = "it ended";
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -11,6 +11,7 @@
 #include "core/core.h"
 #include "core/directory.h"
 #include "limits/backoff.h"
+#include "limits/list_waits.h"
 #include "net/socket.h"
 
 namespace liftrudder::platform {
@@ -37,6 +38,7 @@
   core::Core& core_;
   const core::Clock& clock_;
   std::atomic<bool> stopping_{false};
+  const limits::ListWaits waits_;
   limits::Backoff backoff_;  // the thread's
   mutable std::mutex mutex_;
   std::condition_variable wake_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include "limits/backoff.h"
+#include "limits/list_waits.h"
 
 using liftrudder::limits::Backoff;
+using liftrudder::limits::ListWaitsOf;
 using Micros = Backoff::Micros;
 
 TEST_CASE("a wait stays under a bound that doubles up to the cap, and a success resets it") {
@@ -75,3 +77,43 @@
     CHECK(at < 10'000'000);
   }
 }
+
+namespace {
+
+tinsail::Settings GroupOf(int size, bool must_subscribe) {
+  tinsail::Settings settings;
+  settings.group_size = size;
+  settings.must_subscribe = must_subscribe;
+  settings.ask_within_us = 10'000'000;
+  settings.stop_sending_within_us = 1'000'000;
+  return settings;
+}
+
+}  // namespace
+
+// Restarted amid a release: what its agent has counts as told from the start on, and what comes while the
+// agent is not asked from when it comes. A send is void 1 s after that.
+TEST_CASE("an agent of one's own is asked before anything it tells has run out, whatever the group's size") {
+  for (int size : {1, 100, 300, 3000}) {
+    tinsail::Settings settings = GroupOf(size, false);
+    auto waits = ListWaitsOf(settings);
+    Micros longest = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+      Backoff backoff(waits.first_us, waits.most_us, seed);
+      longest = std::max(longest, backoff.Within(waits.start_us));
+      for (int failures = 0; failures < 12; ++failures) longest = std::max(longest, backoff.Next());
+    }
+    INFO("group of " << size << ", longest wait " << longest << " us");
+    CHECK(longest > 0);
+    CHECK(longest <= settings.stop_sending_within_us / 4);
+  }
+}
+
+TEST_CASE("a list service that all of a group call is asked by a group of 300 as by one of 100, spread wider") {
+  auto hundred = ListWaitsOf(GroupOf(100, true)), all = ListWaitsOf(GroupOf(300, true));
+  CHECK(hundred.start_us == 3'000'000);
+  CHECK(hundred.first_us == 1'250'000);
+  CHECK(hundred.most_us == 5'000'000);
+  CHECK(all.start_us >= hundred.start_us);
+  CHECK(ListWaitsOf(GroupOf(1, true)).start_us == 30'000);
+}
