The descriptors hold a connection for each of 200 holders; before, a quarter, bounded by threads

0.000 info room for 235 connections of clients, 202 with requests, and 78 to holders; 0.2 of a core

A teacher-search asks 172 shards at once at 172 holders. At 78 connections with a part out on each nothing is idle, `HolderLinks::Open` makes no room, and `Pump` ends the attempt as not connected; the module then takes the holder for dead. 95,020 connections were opened for some 145,000 parts, evicted and opened again.

Lines at fault: `config::ShareOut` gave holders a quarter of the smaller of descriptors (560) and client threads by memory (313); connections to holders need no thread since they share one. Ruled out: holders' own limits (no refusals on the wire before 10 s), memory (3 of 48 MB), descriptors (92 of 608).

Change: one connection for each holder of the settings' cells or the known list, and a quarter more, at most five eighths of the descriptors, never less than before. 256 descriptors and 32 MB with 200 holders: 130 and 78 for clients. Test: parts_test, "the limits hold a connection for each of two hundred holders".

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -107,20 +107,27 @@
   return list;
 }
 
-Budget ShareOut(int sockets, int memory_mb) {
+Budget ShareOut(int sockets, int memory_mb, int holders) {
   // Kept back: standard streams, listener, discovery's old and new watch, the clients that are just being
   // ended or turned away, and what is being accepted just now.
   constexpr int kReserve = 48;
   // A connection's thread touches some 20 KiB of its stack; a head and a body as large as they may be are 80
   // KiB more. A third of the memory stays with the core, its queue and the allocator.
   constexpr int kPerMb = 10;
+  // A query for every shard has a part out at each holder at once: with less than a connection for each, parts
+  // wait for one to come free and connections are opened again and again. A quarter more is for holders that
+  // are replaced, and for second parts. Clients keep three eighths all the same: a gatherer of a large group
+  // sees few of them.
+  constexpr int kMore = 4, kMostOfEight = 5;
   int descriptors = std::max(16, sockets - kReserve);
   int threads = std::max(16, memory_mb * kPerMb * 2 / 3);
-  Budget budget;
   int all = std::min(descriptors, threads);
+  Budget budget;
   // A third of the limit may be held by requests alone, and the mute ones and the idle come on top of that.
-  budget.holder_connections = all / 4;
-  budget.client_connections = all - budget.holder_connections;
+  // Connections to holders have no thread and take none of the memory that those are counted in.
+  budget.holder_connections =
+      std::max(all / 4, std::min(holders + holders / kMore, descriptors * kMostOfEight / 8));
+  budget.client_connections = std::min(threads - all / 4, descriptors - budget.holder_connections);
   budget.client_requests = std::min(budget.client_connections, std::max(4, sockets / 3));
   return budget;
 }
@@ -150,12 +157,14 @@
   std::string_view limits = json::Get(text, "limits");
   int memory_mb = static_cast<int>(IntegerOr(limits, "memory_mb", 192));
   out.why = Why(json::Get(text, "why"), memory_mb);
-  out.budget = ShareOut(static_cast<int>(IntegerOr(limits, "sockets", 1024)),
-                        memory_mb - static_cast<int>((out.why.bytes + kMiB - 1) / kMiB));
   out.cores = json::Number(json::Get(limits, "cores")).value_or(out.cores);
   std::string_view known = json::Get(text, "known");
   if (!known.empty()) out.known = ParseHolders(known, out);
   out.known.kind = tinsail::ListKind::kCached;
+  // The list may be short or old: there is a holder for each cell at least.
+  int holders = std::max(static_cast<int>(out.known.entries.size()), out.settings.cells);
+  out.budget = ShareOut(static_cast<int>(IntegerOr(limits, "sockets", 1024)),
+                        memory_mb - static_cast<int>((out.why.bytes + kMiB - 1) / kMiB), holders);
   return out;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -45,8 +45,9 @@
 // A list in discovery's form; throws std::runtime_error when it is not one.
 core::HolderList ParseHolders(std::string_view text, const Config& config);
 
-// How many connections of either side fit the limits; holders' share is kept back from clients.
-Budget ShareOut(int sockets, int memory_mb);
+// How many connections of either side fit the limits; holders' share is kept back from clients, and holds one
+// for each of `holders` where that leaves clients enough.
+Budget ShareOut(int sockets, int memory_mb, int holders);
 
 }  // namespace liftrudder::config
 
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -4,7 +4,9 @@
 #include <condition_variable>
 #include <filesystem>
 #include <mutex>
+#include <tuple>
 
+#include "config/config.h"
 #include "core/book.h"
 #include "core/directory.h"
 #include "dns/update.h"
@@ -137,6 +139,25 @@
   CHECK(results.size() == kHolders);
 }
 
+TEST_CASE("the limits hold a connection for each of two hundred holders, and clients keep theirs") {
+  // Of few holders a quarter is kept; clients' threads are bounded by the memory, connections to holders not.
+  CHECK(config::ShareOut(1024, 192, 16).holder_connections == 244);
+  CHECK(config::ShareOut(1024, 192, 16).client_connections == 732);
+  CHECK(config::ShareOut(256, 32, 16).holder_connections == 52);
+  for (auto [sockets, memory_mb, holders] : {std::tuple(608, 47, 172), {544, 62, 163}, {640, 62, 200}}) {
+    config::Budget budget = config::ShareOut(sockets, memory_mb, holders);
+    INFO(sockets << " descriptors, " << memory_mb << " MB, " << holders << " holders");
+    CHECK(budget.holder_connections >= holders * 5 / 4);
+    CHECK(budget.client_connections >= sockets / 4);
+    CHECK(budget.client_requests >= sockets / 4);
+    CHECK(budget.holder_connections + budget.client_connections <= sockets - 48);
+  }
+  // Too few for all: holders get what clients can spare, not what a quarter would be.
+  config::Budget few = config::ShareOut(256, 32, 200);
+  CHECK(few.holder_connections == 130);
+  CHECK(few.client_connections == 78);
+}
+
 TEST_CASE("a load report that cannot be read says nothing") {
   platform::FrameDialect dialect({"q", "rif"});
   auto load = [&dialect](const std::string& report) {
