Second connections leave each holder its first; no room is waited for, not told as a failure

Seen: with a connection for each holder in the budget, 300 gatherers still opened second ones to some holders until three quarters of their cap were in use (152 of 203 with 163 holders), and what then found neither a connection nor room ended as "not connected", which the module takes for a dead holder.

Lines at fault: `MayOpenAnother` counted all connections, not those beyond one a holder; `Pump` ended what `Open` had no room for. Change: second connections are opened only from what is left beyond one and a quarter for each holder; what finds no room waits in turn for a connection that comes free. Tests: parts_test, two cases (before: four ends as not connected; more than one connection a holder).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -123,6 +123,7 @@
   int threads = std::max(16, memory_mb * kPerMb * 2 / 3);
   int all = std::min(descriptors, threads);
   Budget budget;
+  budget.holders = holders;
   // A third of the limit may be held by requests alone, and the mute ones and the idle come on top of that.
   // Connections to holders have no thread and take none of the memory that those are counted in.
   budget.holder_connections =
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -16,6 +16,7 @@
   int client_connections = 0;
   int client_requests = 0;  // of them, with a request being read or answered
   int holder_connections = 0;
+  int holders = 0;  // that these are for
 };
 
 // The record of decisions.
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -18,7 +18,8 @@
 constexpr std::size_t kMaxPending = 256 * 1024;
 constexpr Micros kStall = 500'000;  // an answer that has begun and does not go on for so long is spoilt
 constexpr std::size_t kMostWithdrawn = 64;  // on one connection, before it is left for another
-constexpr double kSpread = 0.75;  // of all connections: up to here each part out gets one of its own
+constexpr double kSpread = 0.75;    // of the connections beyond those: up to here each part out has its own
+constexpr double kReplaced = 1.25;  // connections a holder: one, and a quarter for those that replace others
 constexpr Micros kSlowConnect = 20'000;
 constexpr int kTurns = 2;            // connections that may break before an attempt's first byte
 constexpr int kAtOnce = 64;          // events in one turn
@@ -95,6 +96,7 @@
     Pump(link);
   }
   Finish(key, cause);
+  ServeStarved();
 }
 
 void HolderLinks::CloseIdle(const core::ReplicaId& holder) {
@@ -149,6 +151,7 @@
         Handle(events[i].data.u64, (events[i].events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0);
       }
     }
+    ServeStarved();
     Micros now = clock_.Now();
     wait_us = std::clamp<Micros>(Sweep(now) - now, 1, kSlice);
     asleep_until_us_ = now + wait_us;
@@ -221,15 +224,31 @@
     if (number != 0) {
       link.queue.pop_front();
       Write(number, connections_.at(number), key, found->second);
-    } else if (link.connecting > 0 || Open(link)) {
+    } else if (link.connecting > 0) {
       return;
     } else {
+      Begun begun = Open(link);
+      if (begun == Begun::kNoRoom && !std::exchange(link.starved, true)) starved_.push_back(link.holder);
+      if (begun != Begun::kFailed) return;
       link.queue.pop_front();
       Finish(key, core::Cause::kConnectionLost);
     }
   }
 }
 
+// Guards against our own cap told as a holder's failure: what finds no room waits for it, those first that
+// have waited longest, as long as its query does.
+void HolderLinks::ServeStarved() {
+  while (!starved_.empty()) {
+    auto link = links_.find(starved_.front());
+    bool waits = link != links_.end() && !link->second.queue.empty();
+    if (waits && Full() && !MakeRoom()) return;
+    starved_.pop_front();
+    if (link != links_.end()) link->second.starved = false;
+    if (waits) Pump(link->second);
+  }
+}
+
 // Not for anything new: idle too long, to an address that is not the holder's any more, or given up.
 bool HolderLinks::OutOfUse(const Connection& connection, const std::string& addr, Micros now) const {
   bool idle = connection.out.empty() && now - connection.used_us > idle_limit_us_;
@@ -237,9 +256,13 @@
 }
 
 // Guards the other parts out on a connection from an answer that spoils it: as long as there are connections
-// to spare, each part out has one of its own. A usable one is never left for one that is slow to come up.
+// to spare beside one for each holder, each part out has one of its own: a second one for this holder must
+// not keep another without any. A usable one is never left for one that is slow to come up.
 bool HolderLinks::MayOpenAnother(const Link& link) const {
-  return !link.slow_connect && static_cast<double>(connections_.size()) < kSpread * limits_.max_connections &&
+  double holders = std::max<double>(limits_.holders, static_cast<double>(links_.size()));
+  double spare = std::max(0.0, limits_.max_connections - kReplaced * holders);
+  auto more = static_cast<double>(connections_.size()) - static_cast<double>(links_.size());
+  return !link.slow_connect && more < kSpread * spare && !Full() &&
          link.connecting < static_cast<int>(link.queue.size());
 }
 
@@ -267,13 +290,15 @@
   return link.connecting > 0 && !link.slow_connect ? 0 : best;
 }
 
-bool HolderLinks::Open(Link& link) {
-  if (static_cast<int>(connections_.size()) >= limits_.max_connections && !MakeRoom()) return false;
+bool HolderLinks::Full() const { return static_cast<int>(connections_.size()) >= limits_.max_connections; }
+
+HolderLinks::Begun HolderLinks::Open(Link& link) {
+  if (Full() && !MakeRoom()) return Begun::kNoRoom;
   std::string addr = directory_.Find(link.holder).addr;
   Fd fd = BeginConnect(addr);
   if (!fd.Valid()) {
     counters_.connects_failed.Add();
-    return false;
+    return Begun::kFailed;
   }
   Number number = ++given_;
   Connection& connection = connections_[number];
@@ -288,7 +313,7 @@
   event.data.u64 = number;
   ::epoll_ctl(epoll_.Get(), EPOLL_CTL_ADD, connection.fd.Get(), &event);
   if (asleep_until_us_ > connection.begun_us + kSlowConnect) Wake();
-  return true;
+  return Begun::kYes;
 }
 
 // At the cap the connection that has stood idle longest makes room: it may belong to a holder seldom met.
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -57,6 +57,7 @@
   Micros idle_close_us = 30'000'000;
   int streams_per_connection = 100;
   int max_connections = 128;  // of all links together
+  int holders = 0;            // as many are known of from the start
 };
 
 using ResultSink = std::function<void(core::AttemptResult)>;
@@ -82,6 +83,7 @@
     std::deque<core::AttemptKey> queue;  // not on a connection yet
     std::vector<Number> connections;
     int connecting = 0;         // of these, not up yet
+    bool starved = false;       // it is among those that wait for room
     bool slow_connect = false;  // the newest connection took long to come up, or did not
   };
   struct Connection {
@@ -121,9 +123,12 @@
 
   // These hold the lock. Those that return a bool say whether the connection is still there.
   void Pump(Link& link);
+  void ServeStarved();
   Number Pick(Link& link, const std::string& id);
   bool MayOpenAnother(const Link& link) const;
-  bool Open(Link& link);
+  enum class Begun { kYes, kNoRoom, kFailed };
+  Begun Open(Link& link);
+  bool Full() const;
   bool MakeRoom();
   void CameUp(Number number, Connection& connection);
   void ConnectFailed(Number number, Connection& connection);
@@ -153,6 +158,7 @@
   std::map<core::ReplicaId, Link> links_;
   std::unordered_map<Number, Connection> connections_;  // bounded by limits_.max_connections
   Number given_ = 0;
+  std::deque<core::ReplicaId> starved_;       // links that found no room for a connection, in turn
   std::map<core::AttemptKey, Attempt> live_;  // whoever takes an attempt out of here tells its end
   Fd epoll_, waker_;
   Thread thread_;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -89,54 +89,121 @@
 
 // A hundred gatherers with a thread for each holder and one for each connection ran into the system's limit
 // on threads, and no attempt started after that ended.
-TEST_CASE("links to many holders take one thread in all, and each attempt ends once") {
-  constexpr int kHolders = 60;
-  auto threads = [] { return std::distance(std::filesystem::directory_iterator("/proc/self/task"), {}); };
-  tinsail::Settings settings;
-  core::Directory directory(settings);
-  core::HolderList list{1, tinsail::ListKind::kFull, {}};
-  std::vector<net::Fd> listeners;
-  for (int i = 0; i < kHolders; ++i) {
-    listeners.push_back(net::Listen("127.0.0.1:0"));
-    list.entries.push_back({"h" + std::to_string(i), net::LocalAddress(listeners.back()), {}});
+namespace {
+
+// Links to so many listening holders; parts go out and their ends come back.
+class LinksUnderTest {
+ public:
+  LinksUnderTest(int holders, const net::LinkLimits& limits)
+      : directory(tinsail::Settings{}), dialect(load_names) {
+    core::HolderList list{1, tinsail::ListKind::kFull, {}};
+    for (int i = 0; i < holders; ++i) {
+      listeners.push_back(net::Listen("127.0.0.1:0"));
+      list.entries.push_back({"h" + std::to_string(i), net::LocalAddress(listeners.back()), {}});
+    }
+    news = directory.Apply(list, 1);
+    links.emplace(dialect, directory, clock, limits, counters, [this](core::AttemptResult result) {
+      std::lock_guard lock(mutex);
+      results.push_back(std::move(result));
+      wake.notify_one();
+    });
+  }
+  void Send(int holder) {
+    core::AttemptOrder order;
+    order.key = {++parts, 0};
+    order.holder = news->replicas[static_cast<std::size_t>(holder)].id;
+    order.shard = static_cast<int>(parts);
+    order.wait_until_us = clock.Now() + 60'000'000;
+    order.payload = std::make_shared<core::Payload>(core::Payload{"q", "", "text", ""});
+    links->Start(std::move(order));
   }
-  auto news = directory.Apply(list, 1);
+  // The holder's newest connection, once a frame has come on it.
+  net::Fd Take(int holder) {
+    net::Fd fd = net::Accept(listeners[static_cast<std::size_t>(holder)], 10'000'000);
+    std::string got;
+    REQUIRE(net::ReadSome(fd, got, 10'000'000) == net::Io::kOk);
+    return fd;
+  }
+  core::AttemptResult Ended(std::size_t nth) {
+    std::unique_lock lock(mutex);
+    REQUIRE(wake.wait_for(lock, std::chrono::seconds(20), [&] { return results.size() > nth; }));
+    return results[nth];
+  }
+
+  std::vector<net::Fd> listeners;
+  core::Directory directory;
+  std::optional<tinsail::ListNews> news;
   net::SteadyClock clock;
   metrics::Counters counters;
   const std::vector<std::string> load_names;
-  platform::FrameDialect dialect(load_names);
+  platform::FrameDialect dialect;
   std::mutex mutex;
   std::condition_variable wake;
   std::vector<core::AttemptResult> results;
+  core::Id parts = 0;
+  std::optional<net::HolderLinks> links;
+};
+
+std::string Served(core::Id part) {
+  std::string text = "aq." + std::to_string(part) + " served 1 -\nv";
+  return std::string{static_cast<char>(text.size()), 0, 0, 0} + text;
+}
+
+}  // namespace
+
+TEST_CASE("links to many holders take one thread in all, and each attempt ends once") {
+  constexpr int kHolders = 60;
+  auto threads = [] { return std::distance(std::filesystem::directory_iterator("/proc/self/task"), {}); };
   net::Thread([] {}).Join();  // a sanitizer starts one of its own beside the first
   auto before = threads();
-  {
-    net::HolderLinks links(dialect, directory, clock, {}, counters, [&](core::AttemptResult result) {
-      std::lock_guard lock(mutex);
-      results.push_back(std::move(result));
-      wake.notify_one();
-    });
-    for (int i = 0; i < kHolders; ++i) {
-      core::AttemptOrder order;
-      order.key = {static_cast<core::Id>(i + 1), 0};
-      order.holder = news->replicas[static_cast<std::size_t>(i)].id;
-      order.wait_until_us = clock.Now() + 60'000'000;
-      order.payload = std::make_shared<core::Payload>(core::Payload{"q", "", "text", ""});
-      links.Start(std::move(order));
-    }
-    std::vector<net::Fd> connections;
-    for (net::Fd& listener : listeners) {
-      connections.push_back(net::Accept(listener, 10'000'000));
-      std::string got;
-      REQUIRE(net::ReadSome(connections.back(), got, 10'000'000) == net::Io::kOk);
-    }
-    CHECK(threads() - before <= 1);
-    connections.pop_back();  // the last holder's connection ends after its frame came
-    std::unique_lock lock(mutex);
-    wake.wait(lock, [&] { return !results.empty(); });
-    CHECK(core::OutcomeOf(results[0].progress, results[0].cause) == OutcomeCode::kReset);
-  }
-  CHECK(results.size() == kHolders);
+  LinksUnderTest all(kHolders, {});
+  for (int i = 0; i < kHolders; ++i) all.Send(i);
+  std::vector<net::Fd> connections;
+  for (int i = 0; i < kHolders; ++i) connections.push_back(all.Take(i));
+  CHECK(threads() - before <= 1);
+  connections.pop_back();  // the last holder's connection ends after its frame came
+  core::AttemptResult first = all.Ended(0);
+  CHECK(core::OutcomeOf(first.progress, first.cause) == OutcomeCode::kReset);
+  all.links.reset();
+  CHECK(all.results.size() == kHolders);
+}
+
+TEST_CASE("what finds all connections busy waits for one, and is not told as its holder's failure") {
+  constexpr int kHolders = 6, kMost = 4;
+  net::LinkLimits limits;
+  limits.max_connections = kMost;
+  LinksUnderTest all(kHolders, limits);
+  for (int i = 0; i < kHolders; ++i) all.Send(i);
+  std::vector<net::Fd> connections;
+  for (int i = 0; i < kMost; ++i) connections.push_back(all.Take(i));
+  CHECK(all.results.empty());
+  // One answer is in: its connection makes room for the next in turn.
+  net::WriteAll(connections[2], Served(3), 1'000'000);
+  CHECK(all.Ended(0).cause == Cause::kServed);
+  connections.push_back(all.Take(kMost));
+  net::WriteAll(connections[0], Served(1), 1'000'000);
+  CHECK(all.Ended(1).cause == Cause::kServed);
+  connections.push_back(all.Take(kMost + 1));
+  CHECK(all.results.size() == 2);
+}
+
+TEST_CASE("second connections to some holders leave room for a first one to each") {
+  constexpr int kHolders = 8, kMost = 10;
+  net::LinkLimits limits;
+  limits.max_connections = kMost;
+  LinksUnderTest all(kHolders, limits);
+  std::vector<net::Fd> connections;
+  for (int i = 0; i < kHolders; ++i) all.Send(i);
+  for (int i = 0; i < kHolders; ++i) connections.push_back(all.Take(i));
+  net::WriteAll(connections[7], Served(8), 1'000'000);
+  all.Ended(0);
+  // A second part for each of the others shares its connection.
+  for (int i = 0; i < kHolders - 1; ++i) all.Send(i);
+  all.Send(kHolders - 1);
+  std::string got;
+  REQUIRE(net::ReadSome(connections[7], got, 10'000'000) == net::Io::kOk);
+  CHECK(all.counters.connects.Value() == kHolders);
+  CHECK(all.results.size() == 1);
 }
 
 TEST_CASE("the limits hold a connection for each of two hundred holders, and clients keep theirs") {
