--- /dev/null
+++ b/bench/fan_cost.cpp
@@ -0,0 +1,110 @@
+// What a query for every shard costs the gatherer: processor time of the whole program, one query at a time,
+// as the holders (one a shard, three to a shard) answer spread over a tenth of a second. First queries open
+// the connections and are counted apart. On a platform that grants a fifth of a core, five times this is
+// waited.
+//
+//   fan_cost [QUERIES] [HOLDERS ...]      a table row for each number of holders
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standin/discovery.h"
+#include "standin/folder.h"
+#include "standin/gatherer.h"
+#include "standin/holder.h"
+
+namespace {
+
+using namespace liftrudder;
+
+std::string Config(const standin::Discovery& discovery, int holders) {
+  return fmt::format(
+      R"({{"name":"n1","seed":"8c1f30d27a5be964","listen":"127.0.0.1:0","discovery":"{}","limits":{{"cores":0.2,"sockets":640,"memory_mb":64}},
+"known":{},"settings":{{"az":0,"groupSize":300,"ordinal":0,"resolutionUs":1000,"dcs":["dc1"],"kinds":["k"],
+"registryMode":"automatic","loadInfo":{{"how":"inline","names":["queue","inflight"]}},
+"grades":[{{"name":"search","aimUs":500000,"giveUpUs":1340000,"lateShare":0.3,"value":5.0,"effect":"idempotent","repeatWindowUs":5000000,"dedupScope":"all"}}],
+"familyInfo":{{"cells":{},"reach":3,"slices":{},"perCall":1,"classFetch":[0],"classFloor":[0.4],"wholeAt":[1.0],"incompleteWorth":[0.95]}},
+"bounds":{{"attemptsCap":3,"cancelling":true,"connectTimeoutUs":250000,"idleCloseUs":30000000,"maxOpen":800,"maxRetryAfterUs":500000,"probes":true,"retryAfter":true,"secondCopies":true,"streamsPerConn":100}},
+"rules":{{"graceToAnswerUs":5000,"stopSendingWithinUs":1000000}}}}}})",
+      discovery.addr(), discovery.List(), holders, holders);
+}
+
+struct Cost {
+  double first_ms = 0, later_ms = 0, idle_ms_a_second = 0;
+  int whole = 0;
+};
+
+// A status of 200 and marked whole.
+bool AskAll(const net::Fd& fd, int number, int shards) {
+  std::string tablets;
+  for (int shard = 0; shard < shards; ++shard)
+    tablets +=
+        fmt::format("{}{{\"tablet\":{},\"fraction\":{:.9f}}}", shard > 0 ? "," : "", shard, 1.0 / shards);
+  std::string body = fmt::format("{{\"tablets\":[{}],\"statement\":\"s\"}}", tablets), in;
+  net::WriteAll(fd,
+                fmt::format("POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: b-{}\r\nX-Call-Class: search\r\n"
+                            "X-Budget: 1.3\r\nContent-Length: {}\r\n\r\n{}",
+                            number, body.size(), body),
+                standin::kPatience);
+  net::HttpParser parser(net::HttpParser::Kind::kResponse);
+  auto state = net::HttpParser::State::kHead;
+  while (state != net::HttpParser::State::kDone && net::ReadSome(fd, in, standin::kPatience) == net::Io::kOk)
+    state = parser.Feed(in);
+  return parser.message().status == 200 && parser.message().body.starts_with("{\"full\":true");
+}
+
+Cost Measure(int holders, int queries, const std::string& folder) {
+  standin::Discovery discovery;
+  std::vector<std::unique_ptr<standin::FrameHolder>> all;
+  for (int cell = 0; cell < holders; ++cell) {
+    all.push_back(std::make_unique<standin::FrameHolder>([cell](const std::string&, std::size_t nth) {
+      auto spread = (static_cast<std::size_t>(cell) * 7919 + nth * 104729) % 100;
+      return standin::Behaviour{standin::Act::kServe, 10'000 + static_cast<net::Micros>(spread) * 1'000};
+    }));
+    discovery.Tell(fmt::format("s-{}", cell), all.back()->addr(), cell, "ready");
+  }
+  standin::Gatherer gatherer(LIFTRUDDER_PROGRAM, folder, Config(discovery, holders));
+  if (gatherer.addr().empty()) {
+    std::fprintf(stderr, "%s\n", gatherer.Log().c_str());
+    std::exit(1);
+  }
+  Cost cost;
+  net::SteadyClock clock;
+  net::Micros began = clock.Now();
+  double before = gatherer.CpuMs();
+  while (clock.Now() - began < 2'000'000) ::usleep(100'000);
+  cost.idle_ms_a_second = (gatherer.CpuMs() - before) / 2;
+  net::Fd fd = net::Connect(gatherer.addr(), standin::kPatience);
+  constexpr int kFirst = 3;  // until nearly all connections are there
+  for (int i = 0; i < kFirst + queries; ++i) {
+    if (i == 0 || i == kFirst) before = gatherer.CpuMs();
+    cost.whole += AskAll(fd, i, holders);
+    double used = gatherer.CpuMs() - before;
+    (i < kFirst ? cost.first_ms : cost.later_ms) = used / (i < kFirst ? i + 1 : i + 1 - kFirst);
+  }
+  return cost;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  int queries = argc > 1 ? std::atoi(argv[1]) : 100;
+  std::vector<int> sizes;
+  for (int i = 2; i < argc; ++i) sizes.push_back(std::atoi(argv[i]));
+  if (sizes.empty()) sizes = {12, 60, 172};
+  standin::Folder own;
+  std::printf(
+      "| holders | CPU ms a query, the first three | later | to a part, us | idle, ms a second | whole |\n"
+      "|---|---|---|---|---|---|\n");
+  for (int holders : sizes) {
+    Cost cost = Measure(holders, queries, own.path());
+    std::printf("| %d | %.2f | %.2f | %.1f | %.2f | %d of %d |\n", holders, cost.first_ms, cost.later_ms,
+                cost.later_ms * 1e3 / holders, cost.idle_ms_a_second, cost.whole, queries + 3);
+    std::fflush(stdout);
+  }
+}
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -114,10 +114,10 @@
   // A connection's thread touches some 20 KiB of its stack; a head and a body as large as they may be are 80
   // KiB more. A third of the memory stays with the core, its queue and the allocator.
   constexpr int kPerMb = 10;
-  // A query for every shard has a part out at each holder at once: with less than a connection for each, parts
-  // wait for one to come free and connections are opened again and again. A quarter more is for holders that
-  // are replaced, and for second parts. Clients keep three eighths all the same: a gatherer of a large group
-  // sees few of them.
+  // A query for every shard has a part out at each holder at once: with less than a connection for each,
+  // parts wait for one to come free and connections are opened again and again. A quarter more is for holders
+  // that are replaced, and for second parts. Clients keep three eighths all the same: a gatherer of a large
+  // group sees few of them.
   constexpr int kMore = 4, kMostOfEight = 5;
   int descriptors = std::max(16, sockets - kReserve);
   int threads = std::max(16, memory_mb * kPerMb * 2 / 3);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -6,17 +6,33 @@
 
 namespace liftrudder::core {
 
+namespace {
+
+// What a client or another holder waits for; answers are waited for together.
+bool Urgent(const Input& input) {
+  return std::holds_alternative<Arrival>(input) || std::holds_alternative<tinsail::ListNews>(input);
+}
+
+}  // namespace
+
 Core::Core(const tinsail::Settings& settings, std::uint64_t seed, const Clock& clock,
            const HolderDirectory& directory, metrics::Counters& counters)
     : settings_(settings),
       aggregator_(settings, seed),
       clock_(clock),
       directory_(directory),
-      counters_(counters) {}
+      counters_(counters),
+      pace_(settings) {}
 
+// Wakes the core's thread only for what begins a round sooner than it would wake: it need not wake for each
+// of the answers that one round takes.
 void Core::Post(Input input) {
   std::lock_guard lock(mutex_);
+  urgent_ = urgent_ || Urgent(input);
   queue_.push_back(std::move(input));
+  Micros at = RoundAt(sleeps_until_us_);
+  if (at >= sleeps_until_us_) return;
+  sleeps_until_us_ = at;
   wake_.notify_one();
 }
 
@@ -34,23 +50,30 @@
   freshened_.wait_for(lock, kLongest, [&] { return freshen_done_ >= mine || stopping_; });
 }
 
+Micros Core::RoundAt(Micros due_us) const {
+  if (urgent_ || freshen_asked_ > freshen_done_) return pace_.Soon();
+  return queue_.empty() ? std::max(due_us, pace_.Later()) : pace_.Later();
+}
+
 std::vector<Input> Core::NextBatch(std::uint64_t& freshen) {
   std::unique_lock lock(mutex_);
   while (true) {
     Micros now = clock_.Now();
     Micros due = book_.NextExpiry();
     if (!timers_.empty()) due = std::min(due, timers_.begin()->first);
-    Micros earliest = last_round_us_ + settings_.resolution_us;
     // The fronts' notes wait for the next round, or as long as this where there is none.
     constexpr Micros kNotesWait = 100'000;
     bool notes = recorder_ != nullptr && recorder_->MailWaits();
-    if (notes) due = std::min(due, last_round_us_ + kNotesWait);
-    bool ready = !queue_.empty() || due <= now || stopping_ || freshen_asked_ > freshen_done_;
-    if (ready && (now >= earliest || stopping_)) break;
+    if (notes) due = std::min(due, pace_.Last() + kNotesWait);
+    Micros at = RoundAt(due);
+    if (now >= at || stopping_) break;
     constexpr Micros kLongest = 1'000'000;  // bounds the sleep, whatever the clock does
-    Micros until = ready ? earliest : std::max(due, earliest);
-    wake_.wait_for(lock, std::chrono::microseconds(std::clamp<Micros>(until - now, 1, kLongest)));
+    sleeps_until_us_ = std::min(at, now + kLongest);
+    wake_.wait_for(lock, std::chrono::microseconds(sleeps_until_us_ - now));
   }
+  sleeps_until_us_ = 0;
+  urgent_ = false;
+  pace_.Began(clock_.Now());
   std::vector<Input> batch(std::make_move_iterator(queue_.begin()), std::make_move_iterator(queue_.end()));
   queue_.clear();
   freshen = freshen_asked_;
@@ -66,7 +89,7 @@
       std::lock_guard lock(mutex_);
       if (stopping_) break;
     }
-    now_ = last_round_us_ = clock_.Now();
+    now_ = clock_.Now();
     if (recorder_ != nullptr) recorder_->Now(now_);
     events_.clear();
     for (Input& input : batch) std::visit([this](auto& what) { Take(what); }, input);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "core/book.h"
+#include "core/pace.h"
 #include "core/ports.h"
 #include "metrics/metrics.h"
 #include "why/recorder.h"
@@ -56,6 +57,8 @@
  private:
   // Waits for input or a timer, but never less than a resolution after the last round.
   std::vector<Input> NextBatch(std::uint64_t& freshen);
+  // Under the lock: when the next round may begin, for what has come so far and `due_us`.
+  Micros RoundAt(Micros due_us) const;
 
   // Stage intake: inputs to events.
   void Take(Arrival& arrival);
@@ -97,6 +100,9 @@
   std::condition_variable wake_;
   std::deque<Input> queue_;
   bool stopping_ = false;
+  bool urgent_ = false;  // something in the queue is not to wait for answers
+  Pace pace_;
+  Micros sleeps_until_us_ = 0;  // 0: it looks at the queue before it sleeps
   std::uint64_t freshen_asked_ = 0, freshen_done_ = 0;
   std::condition_variable freshened_;
   std::atomic<int> open_{0};  // queries and parts, as the settings count them
@@ -110,7 +116,6 @@
   std::vector<tinsail::PartHeld> held_;
   std::vector<why::OpenedPart> opened_parts_;
   Micros now_ = 0;
-  Micros last_round_us_ = 0;
   std::int64_t number_ = 0;
 };
 
--- a/src/core/record.cpp
+++ b/src/core/record.cpp
@@ -73,6 +73,7 @@
 void Core::EndRound(std::uint64_t freshen) {
   if (recorder_ != nullptr) recorder_->Flush();
   std::lock_guard lock(mutex_);
+  pace_.Ended(clock_.Now());
   if (freshen_done_ >= freshen) return;
   freshen_done_ = freshen;
   freshened_.notify_all();
--- a/src/limits/list_waits.h
+++ b/src/limits/list_waits.h
@@ -1,6 +1,6 @@
-// How long a gatherer waits before it asks for the holder list: at its start, and after its watch was lost. Decides
-// from the settings alone, without clock, randomness or I/O; the waits are bounds under which Backoff draws. For
-// any thread.
+// How long a gatherer waits before it asks for the holder list: at its start, and after its watch was lost.
+// Decides from the settings alone, without clock, randomness or I/O; the waits are bounds under which Backoff
+// draws. For any thread.
 #ifndef LIFTRUDDER_LIMITS_LIST_WAITS_H_
 #define LIFTRUDDER_LIMITS_LIST_WAITS_H_
 
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -153,7 +153,12 @@
     }
     ServeStarved();
     Micros now = clock_.Now();
-    wait_us = std::clamp<Micros>(Sweep(now) - now, 1, kSlice);
+    if (now >= sweep_us_) {
+      sweep_us_ = now + kSlice;
+      Micros due = Sweep(now);
+      sweep_us_ = std::min(sweep_us_, due);  // it may have begun connections
+    }
+    wait_us = std::clamp<Micros>(sweep_us_ - now, 1, kSlice);
     asleep_until_us_ = now + wait_us;
   }
 }
@@ -312,7 +317,8 @@
   epoll_event event{EPOLLIN | EPOLLOUT, {}};
   event.data.u64 = number;
   ::epoll_ctl(epoll_.Get(), EPOLL_CTL_ADD, connection.fd.Get(), &event);
-  if (asleep_until_us_ > connection.begun_us + kSlowConnect) Wake();
+  sweep_us_ = std::min(sweep_us_, connection.begun_us + kSlowConnect);
+  if (asleep_until_us_ > sweep_us_) Wake();
   return Begun::kYes;
 }
 
@@ -473,8 +479,11 @@
   // One that never stops sending must not keep the others waiting: the poll comes back to it.
   for (int turn = 0; got == Io::kOk; ++turn) {
     if (turn == kReadsAtOnce) return true;
+    std::size_t before = connection.pending.size();
     got = ReadNow(connection.fd, connection.pending);
     if (got == Io::kTimeout) return true;
+    // Less than was asked for: that was all, and asking again would only be told so.
+    bool all = got == Io::kOk && connection.pending.size() - before < kReadBytes;
     std::string oldest = connection.out.empty() ? std::string() : connection.out.front().first;
     answers.clear();
     bool usable = true;
@@ -496,6 +505,7 @@
       Drop(number, connection, core::Cause::kSpoilt);
       return false;
     }
+    if (all) return true;
   }
   Drop(number, connection, core::Cause::kConnectionLost);
   return false;
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -155,6 +155,7 @@
   std::mutex mutex_;
   bool stopping_ = false;
   Micros asleep_until_us_ = 0;  // the thread's, while it waits
+  Micros sweep_us_ = 0;         // when it looks for what is overdue next
   std::map<core::ReplicaId, Link> links_;
   std::unordered_map<Number, Connection> connections_;  // bounded by limits_.max_connections
   Number given_ = 0;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -184,7 +184,7 @@
 }
 
 Io ReadNow(const Fd& fd, std::string& out) {
-  char buffer[8192];
+  char buffer[kReadBytes];
   while (true) {
     ssize_t got = ::recv(fd.Get(), buffer, sizeof buffer, MSG_DONTWAIT);
     if (got > 0) out.append(buffer, static_cast<std::size_t>(got));
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -63,6 +63,8 @@
 Io ReadSome(const Fd& fd, std::string& out, Micros wait_us);
 // The same two without waiting: kTimeout when nothing can be moved now.
 Io WriteNow(const Fd& fd, std::string_view bytes, std::size_t& written);
+// What ReadNow takes at once at most; less than that was all there was.
+constexpr std::size_t kReadBytes = 8192;
 Io ReadNow(const Fd& fd, std::string& out);
 // Whether there is something to read or an end to see; waits at most so long.
 bool Readable(int fd, Micros wait_us);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -7,6 +7,7 @@
 #include <queue>
 #include <vector>
 
+#include "core/pace.h"
 #include "limits/backoff.h"
 #include "limits/list_waits.h"
 
@@ -109,7 +110,8 @@
   }
 }
 
-TEST_CASE("a list service that all of a group call is asked by a group of 300 as by one of 100, spread wider") {
+TEST_CASE(
+    "a list service that all of a group call is asked by a group of 300 as by one of 100, spread wider") {
   auto hundred = ListWaitsOf(GroupOf(100, true)), all = ListWaitsOf(GroupOf(300, true));
   CHECK(hundred.start_us == 3'000'000);
   CHECK(hundred.first_us == 1'250'000);
@@ -117,3 +119,28 @@
   CHECK(all.start_us >= hundred.start_us);
   CHECK(ListWaitsOf(GroupOf(1, true)).start_us == 30'000);
 }
+
+// A fifth of a core: a round of 50 us takes 250. Answers come twice a millisecond, now and then a query.
+TEST_CASE("rounds for answers take a tenth of the time, and a query waits for a resolution at most") {
+  tinsail::Settings settings = GroupOf(300, false);
+  tinsail::ClassSettings search;
+  search.aim_us = 500'000;
+  settings.classes = {search};
+  settings.resolution_us = 1'000;
+  liftrudder::core::Pace pace(settings);
+  constexpr Micros kRound = 250, kEnd = 1'000'000;
+  Micros now = 0, in_rounds = 0, longest = 0;
+  while (now < kEnd) {
+    now = pace.Later();
+    longest = std::max(longest, now - pace.Last());
+    CHECK(pace.Soon() - pace.Last() == settings.resolution_us);
+    pace.Began(now);
+    pace.Ended(now += kRound);
+    in_rounds += kRound;
+  }
+  CHECK(in_rounds <= kEnd / 9);
+  CHECK(longest == 2'500);
+  pace.Began(now);
+  pace.Ended(now + 20'000);  // many sends: answers wait for the aim's share, not for ten times as long
+  CHECK(pace.Later() - pace.Last() == 5'000);
+}
--- a/tools/standin/gatherer.cpp
+++ b/tools/standin/gatherer.cpp
@@ -5,6 +5,7 @@
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -68,6 +69,13 @@
   child_ = -1;
 }
 
+double Gatherer::CpuMs() const {
+  clockid_t clock{};
+  timespec used{};
+  if (::clock_getcpuclockid(child_, &clock) != 0 || ::clock_gettime(clock, &used) != 0) return -1;
+  return static_cast<double>(used.tv_sec) * 1e3 + static_cast<double>(used.tv_nsec) / 1e6;
+}
+
 double Gatherer::Stop() {
   if (child_ <= 0) return -1;
   ::kill(child_, SIGTERM);
--- a/tools/standin/gatherer.h
+++ b/tools/standin/gatherer.h
@@ -29,6 +29,8 @@
   std::string Log() const;
   void Signal(int signal) const;
   void Kill();
+  // Processor time so far, of all its threads.
+  double CpuMs() const;
   // SIGTERM, and its CPU seconds (user and system) once it has ended; negative when it ended badly.
   double Stop();
 
