--- a/tests/group_test.cpp
+++ b/tests/group_test.cpp
@@ -284,3 +284,60 @@
   INFO("after: " << after.came[1] << " " << after.came[2] << " " << after.came[3]);
   for (std::uint32_t i = 1; i <= kBad; ++i) CHECK(after.came[i] > 0.75);
 }
+
+namespace {
+
+// One gatherer that is asked every three seconds, for ten shards at once; each holder answers after 40 ms but
+// one, silent in the last query. When that one's part was sent again, after its query came.
+Micros SentAgainAfter() {
+  Settings s = Shared(10);
+  s.resolution_us = kMs;
+  Aggregator module(s, 1);
+  ListNews all{ListKind::kFull, 1, {}};
+  for (std::uint32_t i = 0; i < 10; ++i)
+    all.replicas.push_back({{i + 1, 1}, 0, 0, static_cast<int>(i), Availability::kReady, 1, 0});
+  constexpr int kQueries = 8;
+  constexpr Micros kGap = 3 * kSecond;
+  std::multimap<Micros, Event> due{{kSecond, all}};
+  for (Id id = 1; id <= kQueries; ++id) {
+    Micros at = kSecond + static_cast<Micros>(id) * kGap;
+    due.insert(
+        {at, QueryArrived{id * 100, static_cast<std::int64_t>(id), 10, 0, 0, false, 0, 1500 * kMs, 0}});
+    for (int shard = 0; shard < 10; ++shard)
+      due.insert({at, PartArrived{id * 100 + 1 + static_cast<Id>(shard), static_cast<std::int64_t>(id), shard,
+                                  0.1, 0, 0}});
+  }
+  Micros last = kSecond + kQueries * kGap;
+  std::map<Id, int> attempts;
+  bool silent = false;
+  for (Micros now = kSecond; now < last + 2 * kSecond; now += kMs) {
+    std::vector<Event> events;
+    for (; !due.empty() && due.begin()->first <= now; due.erase(due.begin()))
+      events.push_back(due.begin()->second);
+    if (events.empty()) continue;
+    std::vector<Action> actions;
+    module.Handle(now, events, actions);
+    for (const Action& action : actions) {
+      if (const auto* timer = std::get_if<SetTimer>(&action))
+        due.insert({now + timer->span_us, TimerFired{timer->label}});
+      const auto* send = std::get_if<Send>(&action);
+      if (send == nullptr) continue;
+      int attempt = attempts[send->part]++;
+      if (attempt > 0 && now >= last) return now - last;
+      if (now >= last && !std::exchange(silent, true)) continue;
+      due.insert({now + 40 * kMs,
+                  AttemptEnded{send->part, attempt, send->replica, OutcomeCode::kOk, 40 * kMs, true, {}}});
+    }
+  }
+  return -1;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a gatherer that is asked seldom remembers what parts take, and does not wait long for a silent one") {
+  Micros after = SentAgainAfter();
+  INFO("sent again after " << after / kMs << " ms");
+  CHECK(after > 0);
+  CHECK(after < 200 * kMs);
+}
