--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -20,7 +20,7 @@
 // Latencies assumed before anything was seen, as shares of the least aim, and the observations each is worth;
 // with a tail, or a restarted instance would copy every part and call every replica silent.
 constexpr std::pair<double, double> kPrior[] = {{1.0 / 8, 6}, {1.0 / 4, 3}, {1.0 / 2, 2}};
-constexpr double kLatencyMemory = 4;    // aims (or own queries, if seldom) after which a latency counts 1/e
+constexpr double kLatencyMemory = 4;    // aims after which an observed latency counts 1/e
 constexpr double kBucketGrowth = 1.15;  // latency histogram: 15% a bucket, from 1 ms
 constexpr int kBuckets = 80;
 constexpr double kSpread = 3;            // the slowest part of a query takes about this many median latencies
@@ -223,7 +223,7 @@
   void UpdateView() {
     double dt = viewed_us == 0 ? 0 : std::max(0.0, static_cast<double>(now - viewed_us));
     viewed_us = now;
-    double keep = std::exp(-dt / (kLatencyMemory * std::max(least_aim_us, query_gap_us)));
+    double keep = std::exp(-dt / (kLatencyMemory * least_aim_us));
     reap_us *= std::exp(dt / (kReapMemory * least_aim_us));
     proven_us *= std::exp(-dt / (kReapMemory * least_aim_us));
     losses *= std::exp(-dt / (kLossMemory * least_aim_us));
