--- a/bench/fan_cost.cpp
+++ b/bench/fan_cost.cpp
@@ -45,12 +45,17 @@
   for (int shard = 0; shard < shards; ++shard)
     tablets +=
         fmt::format("{}{{\"tablet\":{},\"fraction\":{:.9f}}}", shard > 0 ? "," : "", shard, 1.0 / shards);
-  std::string body = fmt::format("{{\"tablets\":[{}],\"statement\":\"s\"}}", tablets);
-  net::HttpMessage answer = standin::Fetch(
-      fd, fmt::format("POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: b-{}\r\nX-Call-Class: search\r\n"
-                      "X-Budget: 1.3\r\nContent-Length: {}\r\n\r\n{}",
-                      number, body.size(), body));
-  return answer.status == 200 && answer.body.starts_with("{\"full\":true");
+  std::string body = fmt::format("{{\"tablets\":[{}],\"statement\":\"s\"}}", tablets), in;
+  net::WriteAll(fd,
+                fmt::format("POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: b-{}\r\nX-Call-Class: search\r\n"
+                            "X-Budget: 1.3\r\nContent-Length: {}\r\n\r\n{}",
+                            number, body.size(), body),
+                standin::kPatience);
+  net::HttpParser parser(net::HttpParser::Kind::kResponse);
+  auto state = net::HttpParser::State::kHead;
+  while (state != net::HttpParser::State::kDone && net::ReadSome(fd, in, standin::kPatience) == net::Io::kOk)
+    state = parser.Feed(in);
+  return parser.message().status == 200 && parser.message().body.starts_with("{\"full\":true");
 }
 
 Cost Measure(int holders, int queries, const std::string& folder) {
--- a/bench/why_cost.cpp
+++ b/bench/why_cost.cpp
@@ -205,15 +205,22 @@
     clients.emplace_back([&] {
       net::Fd fd = net::Connect(gatherer.addr(), standin::kPatience);
       for (int i = next.fetch_add(1); i < queries; i = next.fetch_add(1)) {
-        std::string tablets;
+        std::string tablets, in;
         for (int part = 0; part < kParts; ++part)
           tablets += fmt::format("{}{{\"tablet\":{},\"fraction\":0.166667}}", part > 0 ? "," : "", part);
         std::string body = fmt::format("{{\"tablets\":[{}],\"statement\":\"s\"}}", tablets);
-        net::HttpMessage answer = standin::Fetch(
-            fd, fmt::format("POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: b-{}\r\nX-Call-Class: search\r\n"
-                            "X-Budget: 3.5\r\nContent-Length: {}\r\n\r\n{}",
-                            i, body.size(), body));
-        answered += answer.status == 200 ? 1 : 0;
+        net::WriteAll(
+            fd,
+            fmt::format("POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: b-{}\r\nX-Call-Class: search\r\n"
+                        "X-Budget: 3.5\r\nContent-Length: {}\r\n\r\n{}",
+                        i, body.size(), body),
+            standin::kPatience);
+        net::HttpParser parser(net::HttpParser::Kind::kResponse);
+        auto state = net::HttpParser::State::kHead;
+        while (state != net::HttpParser::State::kDone &&
+               net::ReadSome(fd, in, standin::kPatience) == net::Io::kOk)
+          state = parser.Feed(in);
+        answered += parser.message().status == 200 ? 1 : 0;
       }
     });
   }
--- a/tools/standin/gatherer.cpp
+++ b/tools/standin/gatherer.cpp
@@ -91,10 +91,7 @@
 }
 
 net::HttpMessage Fetch(const std::string& addr, const std::string& request) {
-  return Fetch(net::Connect(addr, kPatience), request);
-}
-
-net::HttpMessage Fetch(const net::Fd& fd, const std::string& request) {
+  net::Fd fd = net::Connect(addr, kPatience);
   net::HttpParser parser(net::HttpParser::Kind::kResponse, std::size_t{1} << 22);
   if (!fd.Valid() || net::WriteAll(fd, request, kPatience).status != net::Io::kOk) return {};
   std::string in;
--- a/tools/standin/gatherer.h
+++ b/tools/standin/gatherer.h
@@ -41,8 +41,6 @@
 
 // A request on a connection of its own, and its answer; status 0: none came.
 net::HttpMessage Fetch(const std::string& addr, const std::string& request);
-// The same on a connection that stays.
-net::HttpMessage Fetch(const net::Fd& fd, const std::string& request);
 net::HttpMessage Get(const std::string& addr, const std::string& target);
 
 // Runs the program to its end: exit code and what it printed to both outputs.
