--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -232,8 +232,7 @@
     median_us = Quantile(0.5);
     slow_us = Quantile(0.9);
     copy_us = Quantile(kCopyQuantile);
-    warm_weight = 0;
-    usable = 0;
+    warm_weight = usable = 0;
     JudgeZones(dt);
     for (auto& [id, server] : servers) {
       JudgeSilence(server);
@@ -826,8 +825,8 @@
     if (server != servers.end()) {
       server->second.out.erase({part.id, ended.attempt});
       JudgeOutcome(server->second, ended, attempt);
+      if (attempt.lost) NoteLoss(server->second);
     }
-    if (attempt.lost && server != servers.end()) NoteLoss(server->second);
     auto query = queries.find(part.query);
     if (part.query == 0 || query == queries.end()) {
       if (part.Out() == 0) parts.erase(found);
