The links' tests count results under their lock, as ThreadSanitizer asks

Seen: all 110 tests built with ThreadSanitizer: one fails, parts, with one race: tests/parts_test.cpp:206 reads the size of the results while the links' thread adds one (the test's own list, ended connections at its end). No race in src/: the links, the core's pace and Post, the watch and the budget are run by the same tests.

Change: Results() reads under the test's lock.

--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -129,6 +129,10 @@
     REQUIRE(wake.wait_for(lock, std::chrono::seconds(20), [&] { return results.size() > nth; }));
     return results[nth];
   }
+  std::size_t Results() {
+    std::lock_guard lock(mutex);
+    return results.size();
+  }
 
   std::vector<net::Fd> listeners;
   core::Directory directory;
@@ -165,7 +169,7 @@
   core::AttemptResult first = all.Ended(0);
   CHECK(core::OutcomeOf(first.progress, first.cause) == OutcomeCode::kReset);
   all.links.reset();
-  CHECK(all.results.size() == kHolders);
+  CHECK(all.Results() == kHolders);
 }
 
 TEST_CASE("what finds all connections busy waits for one, and is not told as its holder's failure") {
@@ -176,7 +180,7 @@
   for (int i = 0; i < kHolders; ++i) all.Send(i);
   std::vector<net::Fd> connections;
   for (int i = 0; i < kMost; ++i) connections.push_back(all.Take(i));
-  CHECK(all.results.empty());
+  CHECK(all.Results() == 0);
   // One answer is in: its connection makes room for the next in turn.
   net::WriteAll(connections[2], Served(3), 1'000'000);
   CHECK(all.Ended(0).cause == Cause::kServed);
@@ -184,7 +188,7 @@
   net::WriteAll(connections[0], Served(1), 1'000'000);
   CHECK(all.Ended(1).cause == Cause::kServed);
   connections.push_back(all.Take(kMost + 1));
-  CHECK(all.results.size() == 2);
+  CHECK(all.Results() == 2);
 }
 
 TEST_CASE("second connections to some holders leave room for a first one to each") {
@@ -203,7 +207,7 @@
   std::string got;
   REQUIRE(net::ReadSome(connections[7], got, 10'000'000) == net::Io::kOk);
   CHECK(all.counters.connects.Value() == kHolders);
-  CHECK(all.results.size() == 1);
+  CHECK(all.Results() == 1);
 }
 
 TEST_CASE("the limits hold a connection for each of two hundred holders, and clients keep theirs") {
