TLS 1.3 and 1.2 towards clients of the search API, with files that change in service

`net/tls` is OpenSSL in memory (bytes in, bytes out, no I/O): versions, suites, server names, clients' certificates against issuers and lists, tickets with keys that turn hourly and outlive a change of certificates; no tickets where certificates are asked for, as a resumed connection shows none and a revocation would not count. `net/client_line` is a client's socket with or without it; the door's thread takes handshakes on as bytes come, so one that is left is a mute client's connection and holds no worker. A quarter of the connections may be in a handshake. `app/tls_files` reads and watches the files; what does not fit changes nothing and is said once. The last word (close_notify) goes before each end. The members' reader and the files' stamps moved to where both users reach them; nothing else of them changed.

Off without a member `tls` in the search API's operator file; the platform's front never reads one.

Checked: tests/tls_test.cpp in memory (both versions, damaged records, old versions, renegotiation, names, tickets over time, a table of clients' certificates, wrong files) and on sockets: 500 handshakes begun and left against 40 places, a client served after each 50.

Missing of the point: TLS towards holders; a certificate does not say a tenant yet.

--- a/src/app/identity_files.cpp
+++ b/src/app/identity_files.cpp
@@ -1,8 +1,5 @@
 #include "app/identity_files.h"
 
-#include <sys/stat.h>
-
-#include <filesystem>
 #include <stdexcept>
 #include <vector>
 
@@ -13,11 +10,6 @@
 namespace liftrudder::app {
 namespace {
 
-// Relative to the operator's file, wherever the program was started.
-std::string Beside(const std::string& operator_file, const std::string& path) {
-  return (std::filesystem::path(operator_file).parent_path() / path).string();
-}
-
 void Say(const std::vector<std::string>& changes) {
   for (const std::string& change : changes) log::Info("audit: {}", change);
 }
@@ -41,12 +33,6 @@
       keys_file_(Beside(operator_file_, book.keys_file)),
       callers_(std::move(book)) {}
 
-IdentityFiles::Stamp IdentityFiles::StampOf(const std::string& path) const {
-  struct stat at {};
-  if (::stat(path.c_str(), &at) != 0) return {};
-  return {at.st_mtim.tv_sec * 1'000'000'000 + at.st_mtim.tv_nsec, at.st_size, at.st_ino};
-}
-
 void IdentityFiles::Look() {
   if (StampOf(keys_file_) != seen_) TakeKeys();
 }
--- a/src/app/identity_files.h
+++ b/src/app/identity_files.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "app/files.h"
 #include "identity/callers.h"
 
 namespace liftrudder::app {
@@ -19,31 +20,20 @@
   static std::unique_ptr<IdentityFiles> Open(const std::string& operator_file, std::string_view text);
 
   identity::Callers& callers() { return callers_; }
-  // Looks whether the key file has changed; to be called at least every kLookUs, so that a withdrawal counts
-  // within a second of its file.
+  // Looks whether the key file has changed; to be called at least every kLookUs (files.h), so that a
+  // withdrawal counts within a second of its file.
   void Look();
   // Reads both files again, whether they look changed or not.
   void Reload();
 
-  static constexpr std::int64_t kLookUs = 250'000;
-
  private:
   IdentityFiles(std::string operator_file, identity::Book book);
   void TakeKeys();
 
-  // What tells one state of a file from another without reading it; two of the same size within a time
-  // stamp's grain differ by their inode, since files are to be put in place by renaming.
-  struct Stamp {
-    std::int64_t changed_ns = 0, size = -1;
-    std::uint64_t inode = 0;
-    bool operator==(const Stamp&) const = default;
-  };
-  Stamp StampOf(const std::string& path) const;
-
   const std::string operator_file_;
   std::string keys_file_;
   identity::Callers callers_;
-  Stamp seen_;
+  FileStamp seen_;
   std::string said_;  // of the last attempt that failed
 };
 
--- a/src/identity/rights.cpp
+++ b/src/identity/rights.cpp
@@ -7,6 +7,7 @@
 #include <libcidr.h>
 }
 
+#include "identity/members.h"
 #include "identity/strict_json.h"
 
 namespace liftrudder::identity {
@@ -26,60 +27,8 @@
           }};
 }
 
-// One member after the other, each told where it stands; what is not known is an error, since a right that is
-// misspelt would be one that is not held against anybody.
-class Reader {
- public:
-  Reader(const Json& object, std::string where) : object_(object), where_(std::move(where)) {
-    if (!object.is_object()) Wrong("is not an object");
-  }
-
-  template <typename T>
-  void Take(const char* name, T& out) {
-    known_.insert(name);
-    auto found = object_.find(name);
-    if (found == object_.end()) return;
-    bool fits = std::is_same_v<T, bool> ? found->is_boolean() : found->is_string();
-    if constexpr (std::is_same_v<T, std::vector<std::string>>) {
-      fits = found->is_array();
-      for (const Json& one : *found) fits = fits && one.is_string();
-    }
-    if (!fits) return Wrong(fmt::format("[{}] is of another kind", name));
-    found->get_to(out);
-  }
-  std::int64_t Number(const char* name, std::int64_t least, std::int64_t most, std::int64_t otherwise) {
-    known_.insert(name);
-    auto found = object_.find(name);
-    if (found == object_.end()) return otherwise;
-    if (!found->is_number_integer() || found->get<std::int64_t>() < least ||
-        found->get<std::int64_t>() > most)
-      Wrong(fmt::format("[{}] must be a whole number from {} to {}", name, least, most));
-    return wrong.empty() ? found->get<std::int64_t>() : otherwise;
-  }
-  const Json* Member(const char* name) {
-    known_.insert(name);
-    auto found = object_.find(name);
-    return found == object_.end() ? nullptr : &*found;
-  }
-  void End() {
-    if (!object_.is_object()) return;
-    for (const auto& [name, value] : object_.items())
-      if (!known_.contains(name)) Wrong(fmt::format("[{}] is not known", name));
-  }
-  void Wrong(const std::string& what) {
-    if (wrong.empty()) wrong = fmt::format("{}: {}", where_, what);
-  }
-
-  std::string wrong;
-
- private:
-  const Json& object_;
-  std::string where_;
-  std::set<std::string, std::less<>> known_;
-};
-
 std::string ReadRights(const Json& value, const std::string& where, Rights& out) {
-  Reader reader(value, where);
+  Members reader(value, where);
   if (!reader.wrong.empty()) return reader.wrong;
   std::vector<std::string> indices, networks;
   reader.Take("indices", indices);
@@ -138,7 +87,7 @@
   auto read = ReadStrictJson(text, kMostBookBytes, kMostDepth);
   if (const auto* wrong = std::get_if<std::string>(&read)) return "identity: " + *wrong;
   Book out;
-  Reader reader(std::get<Json>(read), "identity");
+  Members reader(std::get<Json>(read), "identity");
   if (!reader.wrong.empty()) return reader.wrong;
   reader.Take("keys", out.keys_file);
   reader.Take("issuer", out.issuer);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 
 #include "app/identity_command.h"
 #include "app/identity_files.h"
+#include "app/tls_files.h"
 #include "app/why_command.h"
 #include "config/config.h"
 #include "core/core.h"
@@ -41,7 +42,7 @@
 // watched, `look` is called in between.
 void WaitForEnd(const sigset_t& signals, const lr::metrics::Counters& counters,
                 const std::function<void()>& reload, const std::function<void()>& look) {
-  const timespec pause{0, lr::app::IdentityFiles::kLookUs * 1000};
+  const timespec pause{0, lr::app::kLookUs * 1000};
   while (true) {
     int signal = look ? sigtimedwait(&signals, nullptr, &pause) : sigwaitinfo(&signals, nullptr);
     if (signal == SIGHUP) reload();
@@ -91,9 +92,12 @@
 
 // `options` is null on the platform; elsewhere clients and holders are spoken to in the search API.
 void Serve(const std::string& path, const lr::config::Config& config, const lr::opensearch::Options* options,
-           const lr::dns::ZoneOptions& zone, lr::app::IdentityFiles* identity, const sigset_t& signals) {
+           const lr::dns::ZoneOptions& zone, lr::app::IdentityFiles* identity, bool may_tls,
+           const sigset_t& signals) {
   lr::metrics::Counters counters;
   lr::net::SteadyClock clock;
+  std::unique_ptr<lr::app::TlsFiles> tls;
+  if (may_tls) tls = lr::app::TlsFiles::Open(path, lr::config::ReadFile(path), clock);
   lr::core::Directory directory(config.settings);
   lr::core::Core core(config.settings, config.seed, clock, directory, counters);
   lr::platform::FrameDialect frames(config.load_names);
@@ -145,12 +149,19 @@
                   config.budget.holder_connections, config.cores);
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
     lr::net::Server server(std::move(listener), *front, clock, counters,
-                           {config.budget.client_connections, config.budget.client_requests});
+                           {config.budget.client_connections, config.budget.client_requests},
+                           tls == nullptr ? nullptr : &tls->source());
     std::function<void()> look;
-    if (identity != nullptr) look = [identity] { identity->Look(); };
+    if (identity != nullptr || tls != nullptr) {
+      look = [identity, &tls] {
+        if (identity != nullptr) identity->Look();
+        if (tls != nullptr) tls->Look();
+      };
+    }
     auto reload = [&] {
       Reload(path, watch ? &*watch : nullptr);
       if (identity != nullptr) identity->Reload();
+      if (tls != nullptr) tls->Reload();
     };
     WaitForEnd(signals, counters, reload, look);
     server.Drain();
@@ -189,12 +200,12 @@
     lr::config::Config config = lr::config::Parse(text);
     lr::opensearch::Options options = lr::opensearch::ParseOptions(text, config);
     auto identity = lr::app::IdentityFiles::Open(search_file, text);
-    Serve(search_file, config, &options, lr::dns::ParseZoneOptions(text), identity.get(), signals);
+    Serve(search_file, config, &options, lr::dns::ParseZoneOptions(text), identity.get(), true, signals);
     return 0;
   }
   const char* path = std::getenv("BALANCER_CONFIG");
   if (path == nullptr) throw std::runtime_error("BALANCER_CONFIG names no configuration");
-  Serve(path, lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, nullptr, signals);
+  Serve(path, lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, nullptr, false, signals);
   return 0;
 } catch (const std::exception& error) {
   lr::log::Error("{}", error.what());
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -25,6 +25,7 @@
 constexpr Micros kOldMute = 500'000;
 constexpr Micros kYoung = 50'000;  // a new connection may be silent for so long and count as any other
 constexpr std::chrono::seconds kWorkerWait(2);
+constexpr int kShakingShare = 4;           // of the connections: so many may be in a handshake
 constexpr int kLingering = 20;             // connections ended by us that are read to their end
 constexpr int kAtOnce = 64;                // connections taken, and events, in one turn
 constexpr std::size_t kMostRead = 131072;  // bytes of one client in one turn
@@ -32,12 +33,13 @@
 }  // namespace
 
 Server::Server(Fd listener, Handler& handler, const core::Clock& clock, metrics::Counters& counters,
-               const ServerLimits& limits)
+               const ServerLimits& limits, const TlsSource* tls)
     : listener_(std::move(listener)),
       handler_(handler),
       clock_(clock),
       counters_(counters),
       limits_(limits),
+      tls_(tls),
       lingerer_(kLingering),
       epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
   epoll_event event{EPOLLIN, {nullptr}};
@@ -97,7 +99,10 @@
   std::lock_guard lock(mutex_);
   for (Place place = sessions_.begin(); place != sessions_.end();) {
     Place next = std::next(place);
-    if (place->phase != Phase::kBusy) sessions_.erase(place);
+    if (place->phase != Phase::kBusy) {
+      place->line.Finish();
+      sessions_.erase(place);
+    }
     place = next;
   }
   left_.notify_all();
@@ -105,9 +110,11 @@
 
 void Server::TakeIn() {
   for (int i = 0; i < kAtOnce; ++i) {
-    Fd client = Accept(listener_, 0);
-    if (!client.Valid()) return;
+    Fd accepted = Accept(listener_, 0);
+    if (!accepted.Valid()) return;
+    ClientLine client(std::move(accepted), tls_ == nullptr ? nullptr : tls_->Get());
     Micros now = clock_.Now();
+    if (tls_ != nullptr) LimitShaking();
     if (!MakeRoom(now)) {
       TurnAway(std::move(client));
       continue;
@@ -118,7 +125,7 @@
       place = sessions_.emplace(sessions_.end());
     }
     place->self = place;
-    place->fd = std::move(client);
+    place->line = std::move(client);
     place->since_us = now;
     place->until_us = now + kFirstWait;
     Arm(place, true);
@@ -127,30 +134,47 @@
 
 void Server::Arm(Place place, bool first) {
   epoll_event event{EPOLLIN | EPOLLRDHUP | EPOLLONESHOT, {&*place}};
-  ::epoll_ctl(epoll_.Get(), first ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, place->fd.Get(), &event);
+  ::epoll_ctl(epoll_.Get(), first ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, place->line.fd(), &event);
 }
 
-void Server::TurnAway(Fd client) {
+void Server::TurnAway(ClientLine client) {
   counters_.turned_away.Add();
-  WriteAll(client, Format(handler_.Overloaded(), true), 0);
-  lingerer_.Take(std::move(client));
+  client.Write(Format(handler_.Overloaded(), true), 0);
+  lingerer_.Take(client.Finish());
+}
+
+// Guards against handshakes that are begun and left: each holds some 50 KB, and they may not fill the memory.
+// The one that began first makes room; a client at work is through in a round trip or two.
+void Server::LimitShaking() {
+  Place oldest;
+  int shaking = 0;
+  {
+    std::lock_guard lock(mutex_);
+    for (Place one = sessions_.begin(); one != sessions_.end(); ++one) {
+      if (one->phase == Phase::kBusy || !one->line.Shaking()) continue;
+      if (shaking++ == 0 || one->since_us < oldest->since_us) oldest = one;
+    }
+  }
+  if (shaking < std::max(1, limits_.connections / kShakingShare)) return;
+  counters_.evicted.Add();
+  Remove(oldest).Finish();
 }
 
-Fd Server::Remove(Place place) {
+ClientLine Server::Remove(Place place) {
   std::lock_guard lock(mutex_);
   // The connection may live on at the lingerer: its events must not name a session that is gone.
-  ::epoll_ctl(epoll_.Get(), EPOLL_CTL_DEL, place->fd.Get(), nullptr);
-  Fd fd = std::move(place->fd);
+  ::epoll_ctl(epoll_.Get(), EPOLL_CTL_DEL, place->line.fd(), nullptr);
+  ClientLine line = std::move(place->line);
   busy_ -= place->phase == Phase::kBusy ? 1 : 0;
   sessions_.erase(place);
   left_.notify_all();
-  return fd;
+  return line;
 }
 
 // The last answer on it: what the client has written meanwhile must not turn that into a reset.
 void Server::Refuse(Place place, const HttpResponse& response) {
-  WriteAll(place->fd, Format(response, true), 0);
-  lingerer_.Take(Remove(place));
+  place->line.Write(Format(response, true), 0);
+  lingerer_.Take(Remove(place).Finish());
 }
 
 // Guards against connections held for nothing: mute ones, and those of clients that asked once and stay. Mute
@@ -172,13 +196,13 @@
     full = open >= limits_.connections;
     for (Place one = sessions_.begin(); one != sessions_.end(); ++one) {
       if (one->phase == Phase::kBusy || (worst != sessions_.end() && rank(*one) <= rank(*worst))) continue;
-      if (Peek(one->fd.Get()) != Sight::kBytes) worst = one;
+      if (Peek(one->line.fd()) != Sight::kBytes) worst = one;
     }
   }
   if (worst == sessions_.end()) return !full;
   if (!full && !std::get<0>(rank(*worst))) return true;
   counters_.evicted.Add();
-  Remove(worst);
+  Remove(worst).Finish();
   return true;
 }
 
@@ -208,7 +232,7 @@
   overdue.insert(overdue.end(), idle.begin(), idle.end());
   for (Place place : overdue) {
     if (place->received_us == 0) {
-      Remove(place);
+      Remove(place).Finish();
       continue;
     }
     counters_.malformed.Add();
@@ -221,7 +245,7 @@
   { std::lock_guard lock(mutex_); }
   std::size_t taken = 0;
   while (true) {
-    Io got = ReadSome(place->fd, place->pending, 0);
+    Io got = place->line.Read(place->pending);
     if (got == Io::kTimeout) return Arm(place, false);
     if (got != Io::kOk) return static_cast<void>(Remove(place));
     if (place->received_us == 0) {
@@ -232,7 +256,7 @@
     HttpParser::State state = place->parser.Feed(place->pending);
     // One request at a time: of a flood written at once none is begun.
     bool done = state == HttpParser::State::kDone;
-    bool more = done && (!place->pending.empty() || Peek(place->fd.Get()) == Sight::kBytes);
+    bool more = done && (!place->pending.empty() || place->line.See() == Sight::kBytes);
     if (state == HttpParser::State::kBad || more) {
       counters_.malformed.Add();
       return Refuse(place, handler_.Malformed(400));
@@ -261,7 +285,7 @@
   }
   lock.unlock();
   counters_.turned_away.Add();
-  if (WriteAll(place->fd, Format(handler_.Overloaded(), false), 0).status != Io::kOk) {
+  if (place->line.Write(Format(handler_.Overloaded(), false), 0).status != Io::kOk) {
     Remove(place);
   } else {
     Restart(place);
@@ -273,7 +297,7 @@
   std::unique_lock lock(mutex_);
   if (stopping_ && place->phase == Phase::kBusy) {
     lock.unlock();
-    return lingerer_.Take(Remove(place));
+    return lingerer_.Take(Remove(place).Finish());
   }
   busy_ -= place->phase == Phase::kBusy ? 1 : 0;
   place->phase = Phase::kIdle;
@@ -306,19 +330,19 @@
 }
 
 void Server::Answer(Place place, std::vector<Served>& served) try {
-  Exchange exchange{place->fd.Get(), place->received_us, draining_, &served};
+  Exchange exchange{&place->line, place->received_us, draining_, &served};
   auto response = handler_.Handle(place->parser.message(), exchange);
   if (!response) return static_cast<void>(Remove(place));
   // Told to end, we still serve those who are connected until new ones are turned away: sent off at once,
   // they would find nobody where another gatherer is just being replaced as well.
   bool close = response->close || place->parser.message().close || stopping_;
   std::string text = Format(*response, close);
-  Written written = WriteAll(place->fd, text, kWriteWait);
+  Written written = place->line.Write(text, kWriteWait);
   handler_.Wrote(served, response->status, written.bytes, written.status == Io::kOk);
   if (written.status != Io::kOk) {
     Remove(place);
   } else if (close) {
-    lingerer_.Take(Remove(place));
+    lingerer_.Take(Remove(place).Finish());
   } else {
     Restart(place);
   }
@@ -333,14 +357,14 @@
   came_.notify_one();
 }
 
-WaitingReply::End WaitingReply::Wait(int client, const core::Clock& clock, Micros deadline_us) {
+WaitingReply::End WaitingReply::Wait(ClientLine& client, const core::Clock& clock, Micros deadline_us) {
   std::unique_lock lock(mutex_);
   while (!answer_) {
     Micros left = deadline_us - clock.Now();
     if (left <= 0) return End::kLate;
     came_.wait_for(lock, std::chrono::microseconds(std::min(left, kLookWait)));
     if (answer_) break;
-    Sight sight = Peek(client);
+    Sight sight = client.See();
     if (sight == Sight::kEnd) return End::kGone;
     if (sight == Sight::kBytes) return End::kCrowded;
   }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -15,6 +15,7 @@
 
 #include "core/ports.h"
 #include "metrics/metrics.h"
+#include "net/client_line.h"
 #include "net/http.h"
 #include "net/lingerer.h"
 #include "net/socket.h"
@@ -25,8 +26,8 @@
 
 // What a handler knows of the connection it answers on.
 struct Exchange {
-  int client = -1;         // to see the client go
-  Micros received_us = 0;  // when the request's first byte was seen
+  ClientLine* line = nullptr;  // to see the client go, and who it is
+  Micros received_us = 0;      // when the request's first byte was seen
   bool draining = false;
   std::vector<Served>* served = nullptr;  // the handler enters which queries its response answers
 };
@@ -52,7 +53,7 @@
 class Server {
  public:
   Server(Fd listener, Handler& handler, const core::Clock& clock, metrics::Counters& counters,
-         const ServerLimits& limits);
+         const ServerLimits& limits, const TlsSource* tls = nullptr);
   ~Server();
 
   // From then on it says that it is not ready, and serves on until StopListening: then connections end when
@@ -67,7 +68,7 @@
   enum class Phase { kNew, kBusy, kIdle };
   struct Session {
     std::list<Session>::iterator self;
-    Fd fd;
+    ClientLine line;
     Phase phase = Phase::kNew;
     Micros since_us = 0;     // in this phase
     Micros until_us = 0;     // when a request must have come
@@ -86,8 +87,9 @@
   void EndOverdue(Micros now);
   void Arm(Place place, bool first);
   void Refuse(Place place, const HttpResponse& response);
-  Fd Remove(Place place);
-  void TurnAway(Fd client);
+  ClientLine Remove(Place place);
+  void TurnAway(ClientLine client);
+  void LimitShaking();
 
   // A worker's thread: one request at a time, until there have been none for a while.
   void Work();
@@ -99,6 +101,7 @@
   const core::Clock& clock_;
   metrics::Counters& counters_;
   const ServerLimits limits_;
+  const TlsSource* tls_;  // null: none
   Lingerer lingerer_;
   Fd epoll_;
   std::atomic<bool> draining_{false};
@@ -121,7 +124,7 @@
   // Crowded: the client has written more although its answer is still out.
   enum class End { kAnswered, kGone, kLate, kCrowded };
   // Until the answer is there, the client has gone, or `deadline_us` has come.
-  End Wait(int client, const core::Clock& clock, Micros deadline_us);
+  End Wait(ClientLine& client, const core::Clock& clock, Micros deadline_us);
   core::FinalAnswer& answer() { return *answer_; }
 
  private:
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -159,7 +159,7 @@
 std::optional<ApiError> Front::LetIn(const net::HttpMessage& request, const net::Exchange& exchange,
                                      Visitor& out) {
   const std::string* header = request.Count("Authorization") == 1 ? request.Header("Authorization") : nullptr;
-  std::string from = net::PeerHost(exchange.client);
+  std::string from = net::PeerHost(exchange.line->fd());
   auto admitted = callers_->Admit(header, from, clock_.Now());
   if (auto* visitor = std::get_if<Visitor>(&admitted)) {
     out = std::move(*visitor);
@@ -239,7 +239,7 @@
     error.retry_after_us = kBusyRetryUs;
     return error;
   }
-  switch (asked.reply->Wait(exchange.client, clock_, asked.deadline_us - kLastMoment)) {
+  switch (asked.reply->Wait(*exchange.line, clock_, asked.deadline_us - kLastMoment)) {
     case net::WaitingReply::End::kGone:
       core_.Post(core::Hangup{*asked.id});
       return Gone{};
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -204,7 +204,7 @@
   auto id = core_.Admit(std::move(query), reply);
   if (!id) return Refusal(503, kBusyRetryUs, "too many queries are open");
   exchange.served->push_back({*id, 0});
-  switch (reply->Wait(exchange.client, clock_, deadline_us - kLastMoment)) {
+  switch (reply->Wait(*exchange.line, clock_, deadline_us - kLastMoment)) {
     case net::WaitingReply::End::kGone:
       core_.Post(core::Hangup{*id});
       return std::nullopt;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -20,6 +20,7 @@
 #include "dns/zone.h"
 #include "net/http.h"
 #include "net/socket.h"
+#include "issuer.h"
 #include "signer.h"
 
 namespace liftrudder::tests {
@@ -95,6 +96,7 @@
   Fd fd;
   std::string in;
   std::unique_ptr<HttpParser> http;  // none: frames, or DNS messages
+  std::unique_ptr<TlsClient> tls;    // none: as it is
   bool dns = false;
   bool ended = false;
 };
@@ -154,6 +156,14 @@
       WriteKeys(who, words);
     } else if (verb == "token") {
       Bear(who, words);
+    } else if (verb == "tls") {
+      WriteTls(who, words);
+    } else if (verb == "certificate") {
+      shown_.insert_or_assign(who, client_issuer_.Issue(who, rest, "clientAuth"));
+    } else if (verb == "finished") {
+      Peer& peer = Find(who);
+      Until([&] { return !peer.lines.empty() && peer.lines.back().ended; }, "the connection stays open");
+      if (!peer.lines.back().tls->ended()) throw std::runtime_error("it was cut, without a last word");
     } else if (verb == "send") {
       bool holder = holders_.contains(Name(who));
       Write(holder ? Asked(holders_.at(Name(who)), rest) : Client(who), holder ? Framed(Plain(rest)) : Plain(rest));
@@ -383,11 +393,28 @@
       line.fd = net::Connect(address_, 5'000'000);
       if (!line.fd.Valid()) throw std::runtime_error("cannot connect");
       line.http = std::make_unique<HttpParser>(HttpParser::Kind::kResponse);
+      if (config_.contains("tls") && !who.starts_with("raw")) {
+        auto shows = shown_.find(who);
+        line.tls = std::make_unique<TlsClient>(TLS1_3_VERSION, shows == shown_.end() ? nullptr : &shows->second);
+        Shake(line);
+      }
     }
     return peer.lines.back();
   }
 
-  void Write(Line& line, const std::string& bytes) {
+  void Shake(Line& line) {
+    std::string came;
+    while (SSL_is_init_finished(line.tls->raw()) == 0) {
+      std::string out = line.tls->Step(came, line.in);
+      if (!out.empty()) net::WriteAll(line.fd, out, 5'000'000);
+      came.clear();
+      if (SSL_is_init_finished(line.tls->raw()) == 0 && net::ReadSome(line.fd, came, 5'000'000) != net::Io::kOk)
+        throw std::runtime_error("no handshake");
+    }
+  }
+
+  void Write(Line& line, const std::string& said) {
+    const std::string bytes = line.tls ? line.tls->Say(said) : said;
     if (net::WriteAll(line.fd, bytes, 5'000'000).status != net::Io::kOk)
       throw std::runtime_error("the connection takes nothing");
   }
@@ -438,6 +465,20 @@
     std::filesystem::rename(folder_ + "/keys.new", folder_ + "/keys.json");
   }
 
+  // What the configuration of TLS names, put in place by renaming; `words`: whose certificates are taken back.
+  void WriteTls(const std::string& name, std::istringstream& words) {
+    Issued server = server_issuer_.Issue(name, "DNS:" + name, "serverAuth");
+    std::vector<Issued> revoked;
+    for (std::string who; words >> who;) revoked.push_back(shown_.at(who));
+    for (const auto& [file, text] : {std::pair<std::string, std::string>("cert", server.CertificatePem()),
+                                     {"key", server.KeyPem()},
+                                     {"clients", client_issuer_.Pem()},
+                                     {"revoked", client_issuer_.Revoked(revoked)}}) {
+      std::ofstream(folder_ + "/" + file + ".new") << text;
+      std::filesystem::rename(folder_ + "/" + file + ".new", folder_ + "/" + file + ".pem");
+    }
+  }
+
   // `who` carries this token from now on; `kid` may be one that no key set has had.
   void Bear(const std::string& who, std::istringstream& words) {
     std::string kid, tenant;
@@ -544,7 +585,9 @@
   }
 
   void Read(Peer& peer, Line& line) {
-    net::Io got = net::ReadSome(line.fd, line.in, 0);
+    std::string sealed;
+    net::Io got = net::ReadSome(line.fd, line.tls ? sealed : line.in, 0);
+    if (line.tls) net::WriteAll(line.fd, line.tls->Step(sealed, line.in), 0);
     if (got == net::Io::kEnd || got == net::Io::kError) line.ended = true;
     if (&peer == &discovery_) return;
     while (true) {
@@ -587,6 +630,8 @@
   std::map<std::string, Peer> holders_, clients_;
   std::map<std::string, std::string> aliases_, kept_;
   std::map<std::string, Signer> signers_;        // by kid
+  Issuer server_issuer_{"servers"}, client_issuer_{"clients"};
+  std::map<std::string, Issued> shown_;         // the certificate that a client shows
   std::map<std::string, std::string> bearers_;  // the header line that a client's requests carry
   std::chrono::steady_clock::time_point told_;
 };
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -17,6 +17,10 @@
 //   log once TEXT            the program's log says this, and only once so far
 //   keys KID[:STATE] ...     the key set that callers' tokens are held against is this from now on
 //   token C KID TENANT [S]   client C's `http` requests carry a token of that key, good for S seconds (60)
+//   tls NAME [C] ...         the certificate for that name is shown from now on, and those of the clients C are
+//                            taken back; clients speak TLS where /tls is set, but for those named raw...
+//   certificate C NAMES      client C shows one with these names, such as DNS:a.example
+//   finished C               C's connection has been closed, and not cut: the last word came
 //   list NAME STATE          discovery tells of a holder: ready, draining or gone
 //   expect X GLOB            the next message at X matches (a holder's name, a client's, or any: the holder
 //                            that gets one next, called `it` from then on, and the next other one `other`)
