Clients' certificates name tenants; expiry and revocation count on open connections

A tenant's rights list `certificates`, names as a client's certificate has them. A token says who asks, where there is none the certificate; where both name a tenant it must be the same. Two Authorization headers are no token that is good, whatever the connection shows besides. A book that lists certificates where [tls] asks no client for one is an error at the start.

Off without `identity` and `tls` in the search API's operator file.

--- a/src/identity/callers.cpp
+++ b/src/identity/callers.cpp
@@ -63,19 +63,36 @@
   return std::nullopt;
 }
 
-std::variant<Visitor, Refusal> Callers::Admit(const std::string* authorization, const std::string& address,
-                                              Micros now_us) {
-  if (authorization == nullptr) return Refusal{"no token", true, ""};
-  auto token = Bearer(*authorization);
-  if (!token) return Refusal{"no bearer token", true, ""};
-  auto admitted = gate_.Admit(*token, now_us);
-  if (const auto* denial = std::get_if<Denial>(&admitted))
-    return Refusal{std::string(Name(*denial)), true, ""};
-  Caller& caller = std::get<Caller>(admitted);
+std::variant<Visitor, Refusal> Callers::Admit(const Presented& presented, Micros now_us) {
+  if (!presented.wrong.empty()) return Refusal{"certificate: " + presented.wrong, true, ""};
   std::shared_ptr<const Book> book = this->book();
+  Caller caller;
+  for (const std::string& name : presented.names) {
+    auto owner = book->by_certificate.find(name);
+    if (owner == book->by_certificate.end()) continue;
+    if (!caller.tenant.empty() && caller.tenant != owner->second)
+      return Refusal{"a certificate with names of two tenants", true, caller.tenant};
+    // Never the same text as a token's subject: they have different accounts.
+    if (caller.tenant.empty()) caller.subject = "certificate " + name;
+    caller.tenant = owner->second;
+  }
+  if (presented.authorization != nullptr) {
+    auto token = Bearer(*presented.authorization);
+    if (!token) return Refusal{"no bearer token", true, ""};
+    auto admitted = gate_.Admit(*token, now_us);
+    if (const auto* denial = std::get_if<Denial>(&admitted))
+      return Refusal{std::string(Name(*denial)), true, ""};
+    auto& told = std::get<Caller>(admitted);
+    if (!caller.tenant.empty() && caller.tenant != told.tenant)
+      return Refusal{"a token of another tenant than the certificate", true, told.tenant};
+    caller = std::move(told);
+  } else if (caller.tenant.empty()) {
+    return Refusal{presented.names.empty() ? "no token" : "no token, and no tenant for the certificate", true,
+                   ""};
+  }
   auto found = book->tenants.find(caller.tenant);
   if (found == book->tenants.end()) return Refusal{"unknown tenant", true, caller.tenant};
-  if (!found->second->networks.empty() && !found->second->networks.Contain(address))
+  if (!found->second->networks.empty() && !found->second->networks.Contain(presented.address))
     return Refusal{"not from this network", false, caller.tenant};
   return Visitor{std::move(caller.tenant), std::move(caller.subject), found->second};
 }
--- a/src/identity/callers.h
+++ b/src/identity/callers.h
@@ -22,6 +22,16 @@
   std::shared_ptr<const Rights> rights;
 };
 
+// What a request and its connection show of who asks.
+struct Presented {
+  const std::string* authorization =
+      nullptr;  // that header's text; null where there is none or more than one
+  std::string address;
+  // Of the client's certificate, as net::TlsPeer has them; none where none was shown.
+  std::vector<std::string> names;
+  std::string wrong;  // why that certificate is not good any more; empty: it is
+};
+
 // `why` is for the audit alone; a caller learns only whether it is unknown or not let in from there.
 struct Refusal {
   std::string why;
@@ -38,9 +48,9 @@
   std::optional<std::string> TakeKeys(std::string_view text, std::vector<std::string>& changes);
   std::optional<std::string> TakeBook(Book book, std::vector<std::string>& changes);
 
-  // `authorization` is that header's text, null where there is none or more than one.
-  std::variant<Visitor, Refusal> Admit(const std::string* authorization, const std::string& address,
-                                       Micros now_us);
+  // A token says who asks; where there is none, the certificate. Where both name a tenant it must be the
+  // same, so that a token that was taken is no use on another tenant's connection.
+  std::variant<Visitor, Refusal> Admit(const Presented& presented, Micros now_us);
 
   std::shared_ptr<const Book> book() const;
 
--- a/src/identity/rights.cpp
+++ b/src/identity/rights.cpp
@@ -30,12 +30,13 @@
 std::string ReadRights(const Json& value, const std::string& where, Rights& out) {
   Members reader(value, where);
   if (!reader.wrong.empty()) return reader.wrong;
-  std::vector<std::string> indices, networks;
+  std::vector<std::string> indices, networks, certificates;
   reader.Take("indices", indices);
   reader.Take("partial", out.partial);
   reader.Take("scrolls", out.scrolls);
   reader.Take("pages", out.pages);
   reader.Take("networks", networks);
+  reader.Take("certificates", certificates);
   out.weight = static_cast<double>(reader.Number("weight", 1, kMostWeight, 1));
   if (const Json* filter = reader.Member("filter")) {
     if (!filter->is_object() || filter->size() != 1)
@@ -49,6 +50,17 @@
   if (reader.Member("networks") != nullptr && networks.empty())
     reader.Wrong("[networks] names none; leave it out for any");
   if (networks.size() > kMostNetworks) reader.Wrong(fmt::format("[networks] has over {}", kMostNetworks));
+  for (const std::string& name : certificates) {
+    auto colon = name.find(':');
+    std::string kind = name.substr(0, colon);
+    if (colon == std::string::npos || colon + 1 == name.size() ||
+        (kind != "dns" && kind != "uri" && kind != "email"))
+      reader.Wrong(
+          fmt::format("[certificates] '{}' is no name such as dns:a.example, uri:urn:a or email:a@b", name));
+  }
+  if (certificates.size() > kMostCertificates)
+    reader.Wrong(fmt::format("[certificates] has over {}", kMostCertificates));
+  out.certificates.insert(certificates.begin(), certificates.end());
   out.indices.insert(indices.begin(), indices.end());
   reader.End();
   return reader.wrong;
@@ -111,6 +123,11 @@
     auto rights = std::make_shared<Rights>();
     std::string wrong = ReadRights(value, fmt::format("identity: tenant '{}'", name), *rights);
     if (!wrong.empty()) return wrong;
+    for (const std::string& one : rights->certificates) {
+      if (auto [owner, is_new] = out.by_certificate.emplace(one, name); !is_new)
+        return fmt::format("identity: tenant '{}': [certificates] '{}' is tenant '{}''s already", name, one,
+                           owner->second);
+    }
     out.tenants[name] = std::move(rights);
   }
   reader.End();
--- a/src/identity/rights.h
+++ b/src/identity/rights.h
@@ -20,7 +20,8 @@
 
 constexpr std::size_t kMostBookBytes = 1024 * 1024;
 constexpr std::size_t kMostTenants = 4096;
-constexpr std::size_t kMostNetworks = 64;  // of one tenant
+constexpr std::size_t kMostNetworks = 64;      // of one tenant
+constexpr std::size_t kMostCertificates = 64;  // names of one tenant's
 
 // IPv4 and IPv6 prefixes. An IPv4 address that came in IPv6's form is held against IPv4's prefixes.
 class Networks {
@@ -44,6 +45,7 @@
   double weight = 1;   // of its share of the work, where that is limited
   std::string filter;  // a query of the search API that every search of it is confined to; empty: none
   Networks networks;   // empty: from anywhere
+  std::set<std::string> certificates;  // names of clients' certificates that are its own, as dns:a.example
 
   bool operator==(const Rights&) const = default;
   bool MayIndex(std::string_view name) const { return indices.contains(name) || indices.contains("*"); }
@@ -56,6 +58,7 @@
   // Of all tenants together, shared out by weight; 0: no limit. Work is counted in parts of queries.
   std::int64_t work_per_s = 0, most_open = 0;
   std::map<std::string, std::shared_ptr<const Rights>, std::less<>> tenants;
+  std::map<std::string, std::string, std::less<>> by_certificate;  // a certificate's name: its tenant
 
   // The file's "identity" member, or what is wrong and where.
   static std::variant<Book, std::string> Read(std::string_view text);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -98,6 +98,9 @@
   lr::net::SteadyClock clock;
   std::unique_ptr<lr::app::TlsFiles> tls;
   if (may_tls) tls = lr::app::TlsFiles::Open(path, lr::config::ReadFile(path), clock);
+  bool asks_clients = tls != nullptr && !tls->source().Get()->material().client_ca.empty();
+  if (identity != nullptr && !asks_clients && !identity->callers().book()->by_certificate.empty())
+    throw std::runtime_error("identity: a tenant has [certificates], but [tls] asks no client for one");
   lr::core::Directory directory(config.settings);
   lr::core::Core core(config.settings, config.seed, clock, directory, counters);
   lr::platform::FrameDialect frames(config.load_names);
--- a/src/net/client_line.cpp
+++ b/src/net/client_line.cpp
@@ -59,6 +59,20 @@
   return got == Io::kOk ? Sight::kBytes : got == Io::kTimeout ? Sight::kNothing : Sight::kEnd;
 }
 
+const TlsPeer* ClientLine::Peer(Micros now_us, std::string& wrong) {
+  const TlsPeer* peer = channel_ == nullptr ? nullptr : channel_->peer();
+  if (peer == nullptr) return nullptr;
+  std::shared_ptr<const TlsContext> newest = source_->Get();
+  if (newest->material().client_ca.empty()) return nullptr;
+  if (newest != held_against_ || now_us - held_us_ >= kRecheck) {
+    peer_wrong_ = newest->StillGood(*peer);
+    held_against_ = std::move(newest);
+    held_us_ = now_us;
+  }
+  wrong = peer_wrong_;
+  return peer;
+}
+
 Fd ClientLine::Finish() {
   if (context_ != nullptr) {
     std::string wire;
--- a/src/net/client_line.h
+++ b/src/net/client_line.h
@@ -16,8 +16,9 @@
 class ClientLine {
  public:
   ClientLine() = default;
-  // `tls` null: none.
-  ClientLine(Fd fd, std::shared_ptr<const TlsContext> tls) : fd_(std::move(fd)), context_(std::move(tls)) {}
+  // `tls` null: none. The connection keeps the context that is newest now.
+  ClientLine(Fd fd, const TlsSource* tls)
+      : fd_(std::move(fd)), source_(tls), context_(tls == nullptr ? nullptr : tls->Get()) {}
 
   // Appends what is there, a bounded amount, without waiting. kTimeout: nothing of a request, though a
   // handshake may have gone on. kEnd also on a client that says it writes no more, kError on one cut or at
@@ -34,12 +35,22 @@
   // A handshake has begun and is not over.
   bool Shaking() const { return channel_ != nullptr && channel_->state() == TlsChannel::State::kShaking; }
   const TlsChannel* channel() const { return channel_.get(); }
+  // The client's certificate, and in `wrong` why it is not good any more: held against the newest files each
+  // time they have changed, and against the clock every kRecheck. Null: none was shown, or none is asked for
+  // now.
+  const TlsPeer* Peer(Micros now_us, std::string& wrong);
 
  private:
+  static constexpr Micros kRecheck = 1'000'000;
+
   Fd fd_;
+  const TlsSource* source_ = nullptr;
   std::shared_ptr<const TlsContext> context_;
-  std::unique_ptr<TlsChannel> channel_;  // from the first byte on: a mute client costs none
-  std::string early_;                    // what See has read
+  std::unique_ptr<TlsChannel> channel_;             // from the first byte on: a mute client costs none
+  std::string early_;                               // what See has read
+  std::shared_ptr<const TlsContext> held_against_;  // by Peer, when, and what it found
+  Micros held_us_ = 0;
+  std::string peer_wrong_;
 };
 
 }  // namespace liftrudder::net
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -112,7 +112,7 @@
   for (int i = 0; i < kAtOnce; ++i) {
     Fd accepted = Accept(listener_, 0);
     if (!accepted.Valid()) return;
-    ClientLine client(std::move(accepted), tls_ == nullptr ? nullptr : tls_->Get());
+    ClientLine client(std::move(accepted), tls_);
     Micros now = clock_.Now();
     if (tls_ != nullptr) LimitShaking();
     if (!MakeRoom(now)) {
--- a/src/net/tls.cpp
+++ b/src/net/tls.cpp
@@ -244,7 +244,8 @@
     std::int64_t expires_s = UnixSeconds(X509_get0_notAfter(chain[0].get()));
     if (X509_cmp_current_time(X509_get0_notAfter(chain[0].get())) <= 0) return where + "it has expired";
     out->expires_s_ = i == 0 ? expires_s : std::min(out->expires_s_, expires_s);
-    out->subjects_ += (i == 0 ? "" : " ") + SubjectOf(chain[0].get());
+    if (i > 0) out->subjects_ += ' ';
+    out->subjects_ += SubjectOf(chain[0].get());
     out->pairs_.push_back(std::move(made));
   }
   out->material_ = std::move(material);
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -158,9 +158,14 @@
 // Every refusal is counted and, bounded in rate, written for the operators; the caller learns less.
 std::optional<ApiError> Front::LetIn(const net::HttpMessage& request, const net::Exchange& exchange,
                                      Visitor& out) {
-  const std::string* header = request.Count("Authorization") == 1 ? request.Header("Authorization") : nullptr;
-  std::string from = net::PeerHost(exchange.line->fd());
-  auto admitted = callers_->Admit(header, from, clock_.Now());
+  identity::Presented shown;
+  // Two of them are none that is good, whatever else the connection shows.
+  static const std::string kSeveral;
+  std::size_t tokens = request.Count("Authorization");
+  if (tokens > 0) shown.authorization = tokens == 1 ? request.Header("Authorization") : &kSeveral;
+  shown.address = net::PeerHost(exchange.line->fd());
+  if (const net::TlsPeer* peer = exchange.line->Peer(clock_.Now(), shown.wrong)) shown.names = peer->names;
+  auto admitted = callers_->Admit(shown, clock_.Now());
   if (auto* visitor = std::get_if<Visitor>(&admitted)) {
     out = std::move(*visitor);
     return std::nullopt;
@@ -172,7 +177,7 @@
   bool write = audit_.Take(clock_.Now(), unwritten);
   lock.unlock();
   std::string tenant = refusal.tenant.empty() ? "" : ", tenant " + json::Quote(refusal.tenant);
-  if (write) log::Info("audit: refused from {}: {}{}", from, refusal.why, tenant);
+  if (write) log::Info("audit: refused from {}: {}{}", shown.address, refusal.why, tenant);
   if (write && unwritten > 0) log::Info("audit: {} refusals before it were not written", unwritten);
   if (refusal.unknown) return ApiError{401, "security_exception", "unknown caller", 0, false};
   return Forbidden("not from here");
--- a/tests/identity_test.cpp
+++ b/tests/identity_test.cpp
@@ -1,15 +1,19 @@
 // Who is calling: the readers of tokens and key sets, the life of keys, and the gate with its cache. No
 // program, no socket; the time is handed in.
 #define CATCH_CONFIG_MAIN
+#include <fmt/format.h>
+
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <thread>
 
 #include "identity/base64url.h"
+#include "identity/callers.h"
 #include "identity/gate.h"
 #include "signer.h"
 
+namespace identity = liftrudder::identity;
 using namespace liftrudder::identity;
 using liftrudder::tests::Signer;
 using Json = nlohmann::json;
@@ -280,3 +284,71 @@
   CHECK(wrongful == 0);
   CHECK(refused == 0);
 }
+
+TEST_CASE("a certificate says the tenant where no token does, and never another than the token") {
+  const std::string text = R"({"keys":"k","issuer":")" + kRules.issuer + R"(","audience":")" +
+                           kRules.audience +
+                           R"(","tenants":{
+      "north":{"indices":["*"],"certificates":["dns:north.example","uri:urn:north"],"networks":["10.0.0.0/8"]},
+      "south":{"indices":["*"],"certificates":["dns:south.example"]}}})";
+  auto read = identity::Book::Read(text);
+  REQUIRE(read.index() == 0);
+  identity::Callers callers(std::get<identity::Book>(std::move(read)));
+  std::vector<std::string> changes;
+  REQUIRE_FALSE(callers.TakeKeys(Json{{"keys", Json::array({Ed().Jwk("a")})}}.dump(), changes));
+  Json claims = Claims();
+  claims["tenant"] = "south";
+  const std::string south = "Bearer " + Ed().Token("a", claims), junk = "Basic x";
+  struct Case {
+    const char* what;
+    identity::Presented shown;
+    std::string tenant, why;
+  };
+  const Case cases[] = {
+      {"nothing", {nullptr, "10.0.0.1", {}, ""}, "", "no token"},
+      {"a certificate", {nullptr, "10.0.0.1", {"email:x@y", "dns:north.example"}, ""}, "north", ""},
+      {"two names of one tenant",
+       {nullptr, "10.0.0.1", {"uri:urn:north", "dns:north.example"}, ""},
+       "north",
+       ""},
+      {"names of two tenants",
+       {nullptr, "10.0.0.1", {"dns:north.example", "dns:south.example"}, ""},
+       "",
+       "a certificate with names of two tenants"},
+      {"a name of nobody",
+       {nullptr, "10.0.0.1", {"dns:x"}, ""},
+       "",
+       "no token, and no tenant for the certificate"},
+      {"not from its network", {nullptr, "11.0.0.1", {"dns:north.example"}, ""}, "", "not from this network"},
+      {"one that is not good any more",
+       {&south, "10.0.0.1", {"dns:south.example"}, "certificate revoked"},
+       "",
+       "certificate: certificate revoked"},
+      {"a token and its tenant's certificate", {&south, "10.0.0.1", {"dns:south.example"}, ""}, "south", ""},
+      {"a token and a certificate of nobody", {&south, "10.0.0.1", {"dns:x"}, ""}, "south", ""},
+      {"a token and another tenant's certificate",
+       {&south, "10.0.0.1", {"dns:north.example"}, ""},
+       "",
+       "a token of another tenant than the certificate"},
+      {"a bad token and a good certificate",
+       {&junk, "10.0.0.1", {"dns:north.example"}, ""},
+       "",
+       "no bearer token"},
+  };
+  for (const Case& one : cases) {
+    INFO(one.what);
+    auto admitted = callers.Admit(one.shown, kNow);
+    const auto* visitor = std::get_if<identity::Visitor>(&admitted);
+    CHECK((visitor == nullptr ? "" : visitor->tenant) == one.tenant);
+    CHECK((visitor == nullptr ? std::get<identity::Refusal>(admitted).why : "") == one.why);
+  }
+  for (const char* wrong :
+       {R"({"a":{"indices":["*"],"certificates":["north.example"]}})",
+        R"({"a":{"indices":["*"],"certificates":["dns:"]}})",
+        R"({"a":{"indices":["*"],"certificates":["dns:x"]},"b":{"certificates":["dns:x"]}})"}) {
+    auto again = identity::Book::Read(
+        fmt::format(R"({{"keys":"k","issuer":"i","audience":"g","tenants":{}}})", wrong));
+    REQUIRE(again.index() == 1);
+    CHECK(std::get<std::string>(again).find("[certificates]") != std::string::npos);
+  }
+}
