--- a/src/app/identity_command.cpp
+++ b/src/app/identity_command.cpp
@@ -12,6 +12,7 @@
 
 #include "config/config.h"
 #include "identity/base64url.h"
+#include "identity/signing.h"
 #include "identity/strict_json.h"
 #include "identity/token.h"
 
@@ -25,6 +26,9 @@
 
 struct Options {
   std::string file, before, issuer, audience;
+  std::string kid, tenant, subject = "tests";
+  std::int64_t life_s = 300;
+  bool jwk = false;
 };
 
 // Says what is wrong with it and gives nothing.
@@ -92,6 +96,27 @@
   return kGood;
 }
 
+// Of a key made for trying out. What is printed lets its bearer in wherever that key is in the set.
+int SignForTests(const Options& options) {
+  auto read = identity::SigningKey::Read(config::ReadFile(options.file));
+  if (const auto* wrong = std::get_if<std::string>(&read)) {
+    fmt::print("{}: {}\n", options.file, *wrong);
+    return kNotGood;
+  }
+  const auto& key = std::get<identity::SigningKey>(read);
+  if (options.jwk) {
+    fmt::print("{}\n", key.Jwk(options.kid).dump());
+    return kGood;
+  }
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  std::int64_t now_s = std::chrono::duration_cast<std::chrono::seconds>(now).count();
+  nlohmann::json claims = {
+      {"iss", options.issuer},         {"aud", options.audience},  {"iat", now_s},          {"nbf", now_s},
+      {"exp", now_s + options.life_s}, {"tenant", options.tenant}, {"sub", options.subject}};
+  fmt::print("{}\n", key.Token(options.kid, claims));
+  return kGood;
+}
+
 int Guarded(int (*what)(const Options&), const Options& options) try {
   return what(options);
 } catch (const std::runtime_error& error) {
@@ -121,6 +146,26 @@
   file->needs(issuer)->needs(audience);
   inspect->footer(codes);
   inspect->callback([options, &run] { run = [options] { return Guarded(InspectToken, *options); }; });
+  CLI::App* sign =
+      token->add_subcommand("sign-for-tests", "A token of a private key of your own, for trying out");
+  sign->add_option("--key", options->file, "A private key in PEM, Ed25519 or P-256")->required();
+  sign->add_option("--kid", options->kid, "The key's name in the set")->required();
+  auto* jwk =
+      sign->add_flag("--jwk", options->jwk, "In place of a token, the key's public half for a key set");
+  for (auto [name, where] : {std::pair("--issuer", &options->issuer),
+                             {"--audience", &options->audience},
+                             {"--tenant", &options->tenant},
+                             {"--subject", &options->subject}})
+    sign->add_option(name, *where, "As in the operator's file; not beside --jwk")->excludes(jwk);
+  sign->add_option("--life", options->life_s, "Seconds until it expires; below 0: expired already")
+      ->check(CLI::Range(-86'400, 86'400))
+      ->excludes(jwk);
+  sign->footer(codes);
+  sign->callback([options, &run] {
+    bool whole = !options->issuer.empty() && !options->audience.empty() && !options->tenant.empty();
+    if (!options->jwk && !whole) throw CLI::ValidationError("--issuer, --audience and --tenant are needed");
+    run = [options] { return Guarded(SignForTests, *options); };
+  });
 }
 
 }  // namespace liftrudder::app
--- a/tests/identity_test.cpp
+++ b/tests/identity_test.cpp
@@ -2,9 +2,14 @@
 // program, no socket; the time is handed in.
 #define CATCH_CONFIG_MAIN
 #include <fmt/format.h>
+#include <openssl/evp.h>
+#include <openssl/pem.h>
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -12,6 +17,8 @@
 #include "identity/callers.h"
 #include "identity/gate.h"
 #include "signer.h"
+#include "standin/folder.h"
+#include "standin/gatherer.h"
 
 namespace identity = liftrudder::identity;
 using namespace liftrudder::identity;
@@ -352,3 +359,43 @@
     CHECK(std::get<std::string>(again).find("[certificates]") != std::string::npos);
   }
 }
+
+TEST_CASE("sign-for-tests gives tokens and key sets that the gate takes, of either kind of key") {
+  liftrudder::standin::Folder folder;
+  const std::string program = LIFTRUDDER_PROGRAM, file = folder.path() + "/key.pem";
+  auto run = [&](std::vector<std::string> more) {
+    std::vector<std::string> all{"token", "sign-for-tests", "--key", file, "--kid", "a"};
+    all.insert(all.end(), more.begin(), more.end());
+    return liftrudder::standin::RunProgram(program, all);
+  };
+  const std::vector<std::string> who{"--issuer",      kRules.issuer, "--audience",
+                                     kRules.audience, "--tenant",    "north"};
+  auto write = [&](EVP_PKEY* key) {
+    std::unique_ptr<FILE, int (*)(FILE*)> to(std::fopen(file.c_str(), "w"), std::fclose);
+    PEM_write_PrivateKey(to.get(), key, nullptr, nullptr, 0, nullptr, nullptr);
+    EVP_PKEY_free(key);
+  };
+  for (EVP_PKEY* key : {EVP_PKEY_Q_keygen(nullptr, nullptr, "ED25519"), EVP_EC_gen("P-256")}) {
+    write(key);
+    auto [code, jwk] = run({"--jwk"});
+    REQUIRE(code == 0);
+    auto keys = Set({Json::parse(jwk)});
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    Micros now_us = std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+    for (const char* life : {"60", "-60"}) {
+      std::vector<std::string> more = who;
+      more.insert(more.end(), {"--life", life});
+      auto [signed_code, token] = run(more);
+      REQUIRE(signed_code == 0);
+      token.pop_back();  // the line's end
+      CHECK(Deny(identity::Verify(token, *keys, kRules, now_us)) ==
+            (life[0] == '-' ? Denial::kExpired : Denial::kNone));
+    }
+  }
+  CHECK(run({"--jwk", "--tenant", "north"}).first == 2);
+  CHECK(run({"--tenant", "north"}).first == 2);
+  write(EVP_EC_gen("P-384"));
+  CHECK(run({"--jwk"}) == std::pair(1, file + ": the key is neither Ed25519 nor P-256\n"));
+  std::filesystem::remove(file);
+  CHECK(run({"--jwk"}).first == 2);
+}
