Handshakes that begin on mute connections count against their places too

Seen on reading the change again: the bound on handshakes under way was looked at only when a new connection was taken (Server::TakeIn). Connections that stand mute and then all say hello were never counted: 25 of 40 places, 24 stayed in a handshake where 10 may (tests/tls_test.cpp without the mend).

Change: looked at after each turn of the door's thread (WatchDoor), all beyond the bound at once; not within the loop over events, whose sessions must stay. The two tests on sockets share their setup.

Checked: tls and all scenarios, 41 tests.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -82,6 +82,7 @@
         Receive(static_cast<Session*>(events[i].data.ptr)->self);
       }
     }
+    if (tls_ != nullptr) LimitShaking();
     if (knock) TakeIn();
     EndOverdue(clock_.Now());
   }
@@ -114,7 +115,6 @@
     if (!accepted.Valid()) return;
     ClientLine client(std::move(accepted), tls_);
     Micros now = clock_.Now();
-    if (tls_ != nullptr) LimitShaking();
     if (!MakeRoom(now)) {
       TurnAway(std::move(client));
       continue;
@@ -144,20 +144,22 @@
 }
 
 // Guards against handshakes that are begun and left: each holds some 50 KB, and they may not fill the memory.
-// The one that began first makes room; a client at work is through in a round trip or two.
+// Looked at after each turn, whatever began them: also connections that were mute for a while. Those that
+// came first make room; a client at work is through in a round trip or two.
 void Server::LimitShaking() {
-  Place oldest;
-  int shaking = 0;
+  std::vector<Place> shaking;
   {
     std::lock_guard lock(mutex_);
     for (Place one = sessions_.begin(); one != sessions_.end(); ++one) {
-      if (one->phase == Phase::kBusy || !one->line.Shaking()) continue;
-      if (shaking++ == 0 || one->since_us < oldest->since_us) oldest = one;
+      if (one->phase != Phase::kBusy && one->line.Shaking()) shaking.push_back(one);
     }
   }
-  if (shaking < std::max(1, limits_.connections / kShakingShare)) return;
-  counters_.evicted.Add();
-  Remove(oldest).Finish();
+  // In the list in the order in which they came.
+  auto most = static_cast<std::size_t>(std::max(1, limits_.connections / kShakingShare));
+  for (std::size_t i = 0; i + most < shaking.size(); ++i) {
+    counters_.evicted.Add();
+    Remove(shaking[i]).Finish();
+  }
 }
 
 ClientLine Server::Remove(Place place) {
--- a/tests/issuer.h
+++ b/tests/issuer.h
@@ -48,14 +48,14 @@
     return Make(name, names, "CA:FALSE", from_s, until_s, &own_, use);
   }
   std::string Pem() const { return own_.CertificatePem(); }
-  // The list of what it has taken back.
-  std::string Revoked(const std::vector<Issued>& all) const {
+  // The list of what it has taken back, good until so many seconds from now.
+  std::string Revoked(const std::vector<Issued>& all, long until_s = 3600) const {
     std::unique_ptr<X509_CRL, decltype(&X509_CRL_free)> list(X509_CRL_new(), X509_CRL_free);
     X509_CRL_set_version(list.get(), 1);
     X509_CRL_set_issuer_name(list.get(), X509_get_subject_name(own_.certificate.get()));
     std::unique_ptr<ASN1_TIME, decltype(&ASN1_TIME_free)> at(X509_gmtime_adj(nullptr, -60), ASN1_TIME_free);
     X509_CRL_set1_lastUpdate(list.get(), at.get());
-    X509_gmtime_adj(at.get(), 3600);
+    X509_gmtime_adj(at.get(), until_s);
     X509_CRL_set1_nextUpdate(list.get(), at.get());
     for (const Issued& one : all) {
       X509_REVOKED* entry = X509_REVOKED_new();
--- a/tests/tls_test.cpp
+++ b/tests/tls_test.cpp
@@ -72,6 +72,23 @@
   }
 };
 
+// A server with TLS on a port of its own.
+struct Serving {
+  explicit Serving(int places) {
+    source.Set(Made({{Pair(issuer.Issue("a", "DNS:a.example", "serverAuth"))}, "", "", false}, clock));
+    net::Fd listener = net::Listen("127.0.0.1:0");
+    addr = net::LocalAddress(listener);
+    server.emplace(std::move(listener), echo, clock, counters, net::ServerLimits{places, places}, &source);
+  }
+  Issuer issuer{"issuer"};
+  net::SteadyClock clock;
+  net::TlsSource source;
+  metrics::Counters counters;
+  Echo echo;
+  std::string addr;
+  std::optional<net::Server> server;
+};
+
 constexpr net::Micros kPatience = 20'000'000;
 
 // A whole request and its answer on a new connection, over TLS; empty where there was none.
@@ -249,6 +266,11 @@
   CHECK(Made({{pair}, issuer.Pem(), issuer.Revoked({good}), true})->StillGood(peer) == "certificate revoked");
   CHECK(Made({{pair}, other.Pem(), "", true})->StillGood(peer) != "");
   CHECK(Made({{pair}, "", "", false})->StillGood(peer) != "");
+  // A list that is out of date, or none for one of two issuers, lets nobody in.
+  CHECK(Made({{pair}, issuer.Pem(), issuer.Revoked({}, -30), true})->StillGood(peer) == "CRL has expired");
+  std::string two = issuer.Pem() + other.Pem();
+  CHECK(Made({{pair}, two, issuer.Revoked({}), true})->StillGood(peer) == "");
+  CHECK(Made({{pair}, two, other.Revoked({}), true})->StillGood(peer) == "unable to get certificate CRL");
   // Shown again it is checked again: nothing is resumed.
   client.Begin();
   TlsChannel second(Made({{pair}, issuer.Pem(), issuer.Revoked({good}), true}));
@@ -267,6 +289,11 @@
         "certificate 1: its key: key values mismatch");
   CHECK(Wrong({{Pair(issuer.Issue("x", "DNS:x", "serverAuth", -60, -30))}, "", "", false}) ==
         "certificate 1: it has expired");
+  std::string locked = Issued::Pem([&](BIO* to) {
+    PEM_write_bio_PrivateKey(to, a.key.get(), EVP_aes_128_cbc(), nullptr, 0, nullptr,
+                             const_cast<char*>("secret"));
+  });
+  CHECK(Wrong({{{a.CertificatePem(), locked}}, "", "", false}).find("certificate 1: its key: ") == 0);
   CHECK(Wrong({{Pair(a)}, "junk", "", false}) == "clients' issuers: no certificate is in the file");
   CHECK(Wrong({{Pair(a)}, issuer.Pem(), "junk", false}) == "revoked certificates: no list is in the file");
   CHECK(Wrong({{Pair(a)}, "", "", true}) ==
@@ -275,15 +302,8 @@
 
 TEST_CASE("handshakes begun and left take a quarter of the places; who goes on is served meanwhile") {
   constexpr int kPlaces = 40, kLeft = 500;
-  Issuer issuer("issuer");
-  net::SteadyClock clock;
-  net::TlsSource source;
-  source.Set(Made({{Pair(issuer.Issue("a", "DNS:a.example", "serverAuth"))}, "", "", false}, clock));
-  metrics::Counters counters;
-  Echo echo;
-  net::Fd listener = net::Listen("127.0.0.1:0");
-  std::string addr = net::LocalAddress(listener);
-  net::Server server(std::move(listener), echo, clock, counters, {kPlaces, kPlaces}, &source);
+  Serving serving(kPlaces);
+  const std::string& addr = serving.addr;
   std::vector<net::Fd> left;
   std::string told;
   for (int i = 0; i < kLeft; ++i) {
@@ -302,19 +322,51 @@
   int open = 0;
   for (const net::Fd& one : left) open += net::Peek(one.Get()) != net::Sight::kEnd ? 1 : 0;
   CHECK(open <= kPlaces / 4);
-  CHECK(counters.evicted.Value() >= kLeft - kPlaces / 4);
+  CHECK(serving.counters.evicted.Value() >= kLeft - kPlaces / 4);
 }
 
-TEST_CASE("an answer that is cut is told from a whole one, and a client that says no more is gone") {
-  Issuer issuer("issuer");
-  net::SteadyClock clock;
-  net::TlsSource source;
-  source.Set(Made({{Pair(issuer.Issue("a", "DNS:a.example", "serverAuth"))}, "", "", false}, clock));
-  metrics::Counters counters;
-  Echo echo;
+TEST_CASE("connections that were mute before their handshakes are held to the same places") {
+  constexpr int kPlaces = 40, kMute = 25;  // fewer than those at which mute ones make room for new ones
+  Serving serving(kPlaces);
+  std::vector<net::Fd> mute;
+  std::string told;
+  for (int i = 0; i < kMute; ++i) {
+    mute.push_back(net::Connect(serving.addr, kPatience));
+    REQUIRE(mute.back().Valid());
+  }
+  for (const net::Fd& one : mute) {
+    TlsClient halfway;
+    std::string flight;
+    net::WriteAll(one, halfway.Step("", told), kPatience);
+    REQUIRE(net::ReadSome(one, flight, kPatience) == net::Io::kOk);
+  }
+  TlsClient good;
+  net::Fd fd;
+  CHECK(Ask(serving.addr, good, fd).find("HTTP/1.1 200") == 0);
+  int open = 0;
+  for (const net::Fd& one : mute) open += net::Peek(one.Get()) != net::Sight::kEnd ? 1 : 0;
+  CHECK(open <= kPlaces / 4);
+}
+
+TEST_CASE("who is turned away before a handshake gets an alert, not a cut connection") {
+  Serving serving(8);
   net::Fd listener = net::Listen("127.0.0.1:0");
-  std::string addr = net::LocalAddress(listener);
-  net::Server server(std::move(listener), echo, clock, counters, {8, 8}, &source);
+  net::Fd client = net::Connect(net::LocalAddress(listener), kPatience);
+  net::ClientLine line(net::Accept(listener, kPatience), &serving.source);
+  CHECK(line.Write("HTTP/1.1 503 x\r\n\r\n", 0).status == net::Io::kError);
+  line.Finish();
+  TlsClient side;
+  std::string told, came;
+  side.Step("", told);
+  REQUIRE(net::ReadSome(client, came, kPatience) == net::Io::kOk);
+  side.Step(came, told);
+  CHECK(told.empty());
+  CHECK(came == std::string("\x15\x03\x03\0\2\2\x50", 7));
+}
+
+TEST_CASE("an answer that is cut is told from a whole one, and a client that says no more is gone") {
+  Serving serving(8);
+  const std::string& addr = serving.addr;
   TlsClient client;
   net::Fd fd;
   REQUIRE(Ask(addr, client, fd).find("HTTP/1.1 200") == 0);
