Holder lists are cut by their JSON structure, not by lines, and may be of any length

The program before: 'discovery: the watch at 127.0.0.1:35001 is lost: holder list: no version, or not said whether full', again at each opening, so no leaving and no new server is ever heard of. Lists on one line fail the same way beyond 64 KiB (480 entries of 135 bytes): 'the watch is not HTTP'.

Ruled out: the version order of Directory (in its test), a lost heartbeat (discovery_stalls).

At fault: DiscoveryWatch::Watch cut message.body at each newline and TakeLine took each piece for a list; its HttpParser kept kMaxBodyBytes, a request's bound, of a body that is never whole.

Change: net::ObjectStream cuts a stream of objects by brackets and quotes, whatever the line ends and wherever it is cut; the bound of one list is 2 KiB for each of 1,024 entries, or of four a cell where that is more. Entries are read in one pass (nine before), a wrong one is told by its number and reason.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -41,24 +41,40 @@
   return found == names.end() ? 0 : static_cast<int>(found - names.begin());
 }
 
+tinsail::Availability State(std::string_view value) {
+  std::string_view state = json::RawString(value).value_or("");
+  if (state == "ready") return tinsail::Availability::kReady;
+  if (state == "draining") return tinsail::Availability::kDraining;
+  if (state == "gone") return tinsail::Availability::kGone;
+  throw std::runtime_error(fmt::format("unknown state {}", value));
+}
+
+// In one pass: a list of a thousand is read while a drain runs, on a share of a core.
 core::HolderEntry Entry(std::string_view text, const Config& config) {
   core::HolderEntry entry;
-  entry.id = Text(text, "id");
-  entry.addr = Text(text, "addr");
-  entry.told.cell = static_cast<int>(IntegerOr(text, "cell", 0));
-  entry.told.zone = Place(config.zones, Text(text, "zone"));
-  entry.told.kind = Place(config.kinds, Text(text, "kind"));
-  entry.told.weight = json::Number(json::Get(text, "weight")).value_or(1);
-  entry.told.launched_us = IntegerOr(text, "started_ms", 0) * 1000;  // the module's clock starts at wall time
-  std::string state = Text(text, "state");
-  if (state == "draining") {
-    entry.told.availability = tinsail::Availability::kDraining;
-  } else if (state == "gone") {
-    entry.told.availability = tinsail::Availability::kGone;
-  } else if (state != "ready") {
-    throw std::runtime_error("holder list: unknown state '" + state + "'");
-  }
-  if (entry.id.empty()) throw std::runtime_error("holder list: an entry without an id");
+  bool stated = false;
+  bool ok = json::Members(text, [&](std::string_view key, std::string_view value) {
+    auto name = [&value] { return json::String(value).value_or(""); };
+    auto integer = [&]() -> std::int64_t {
+      auto number = json::Integer(value);
+      if (!number) throw std::runtime_error(fmt::format("{} is {}, not an integer", key, value));
+      return *number;
+    };
+    if (key == "id") entry.id = name();
+    if (key == "addr") entry.addr = name();
+    if (key == "cell") entry.told.cell = static_cast<int>(integer());
+    if (key == "zone") entry.told.zone = Place(config.zones, name());
+    if (key == "kind") entry.told.kind = Place(config.kinds, name());
+    if (key == "weight") entry.told.weight = json::Number(value).value_or(1);
+    // The module's clock starts at wall time.
+    if (key == "started_ms") entry.told.launched_us = integer() * 1000;
+    if (key == "state") entry.told.availability = State(value);
+    stated = stated || key == "state";
+    return true;
+  });
+  if (!ok) throw std::runtime_error("not an object");
+  if (entry.id.empty()) throw std::runtime_error("no id");
+  if (!stated) throw std::runtime_error("no state");
   return entry;
 }
 
@@ -94,13 +110,26 @@
 
 core::HolderList ParseHolders(std::string_view text, const Config& config) {
   core::HolderList list;
-  auto version = json::Integer(json::Get(text, "version"));
-  auto full = json::Bool(json::Get(text, "full"));
-  if (!version || !full) throw std::runtime_error("holder list: no version, or not said whether full");
+  std::optional<std::int64_t> version;
+  std::optional<bool> full;
+  std::string_view servers;
+  bool ok = json::Members(text, [&](std::string_view key, std::string_view value) {
+    if (key == "version") version = json::Integer(value);
+    if (key == "full") full = json::Bool(value);
+    if (key == "servers") servers = value;
+    return true;
+  });
+  if (!ok || !version || *version < 0 || !full)
+    throw std::runtime_error("holder list: no version, or not said whether full");
   list.version = static_cast<std::uint64_t>(*version);
   list.kind = *full ? tinsail::ListKind::kFull : tinsail::ListKind::kDelta;
-  bool ok = json::Elements(json::Get(text, "servers"), [&](std::string_view entry) {
-    list.entries.push_back(Entry(entry, config));
+  ok = json::Elements(servers, [&](std::string_view entry) {
+    try {
+      list.entries.push_back(Entry(entry, config));
+    } catch (const std::runtime_error& error) {
+      throw std::runtime_error(
+          fmt::format("holder list {}: entry {}: {}", list.version, list.entries.size() + 1, error.what()));
+    }
     return true;
   });
   if (!ok) throw std::runtime_error("holder list: no list of servers");
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -6,6 +6,7 @@
 
 #include "log/log.h"
 #include "net/http.h"
+#include "net/object_stream.h"
 
 namespace liftrudder::platform {
 namespace {
@@ -14,6 +15,14 @@
 // The watch beats every 2 s; what it had to tell counts as told 6 s later, so a silent one is left soon.
 constexpr core::Micros kSilence = 3'000'000;
 constexpr core::Micros kSlice = 200'000;
+// A list has an entry for each holder, and as many again for those that replace others; few groups have more
+// than a thousand. An entry is some 130 bytes on one line and twice that indented; names may be long.
+constexpr std::size_t kLeastEntries = 1024, kEntriesPerCell = 4;
+constexpr std::size_t kEntryBytes = 2048;
+
+std::size_t MostListBytes(const tinsail::Settings& settings) {
+  return kEntryBytes * std::max(kLeastEntries, kEntriesPerCell * static_cast<std::size_t>(settings.cells));
+}
 
 }  // namespace
 
@@ -81,7 +90,8 @@
   std::string ask = fmt::format("GET /api/targets?watch=1&from={} HTTP/1.1\r\nHost: {}\r\n\r\n",
                                 directory_.Version(), address);
   if (net::WriteAll(fd, ask, kConnectWait).status != net::Io::kOk) throw std::runtime_error("cannot ask");
-  net::HttpParser parser(net::HttpParser::Kind::kResponse);
+  net::HttpParser parser(net::HttpParser::Kind::kResponse, MostListBytes(config_.settings));
+  net::ObjectStream lists(MostListBytes(config_.settings));
   std::string pending;
   core::Micros heard_us = clock_.Now();
   // An address that was left may go on beating for a while and tell nothing new any more.
@@ -94,12 +104,15 @@
     if (state == net::HttpParser::State::kBad) throw std::runtime_error("the watch is not HTTP");
     net::HttpMessage& message = parser.message();
     if (message.status != 0 && message.status != 200) throw std::runtime_error("the watch was turned down");
-    std::size_t end = 0;
-    while ((end = message.body.find('\n')) != std::string::npos) {
-      TakeLine(std::string_view(message.body).substr(0, end));
+    // What came is cut by its structure, not by lines: a list may stand on many.
+    bool usable = lists.Feed(message.body, [&](std::string_view list) {
+      TakeList(list);
       Answered(address);
-      message.body.erase(0, end + 1);
-    }
+    });
+    if (!usable) throw std::runtime_error("the watch is no stream of lists: " + lists.error());
+    message.body.clear();
+    if (state == net::HttpParser::State::kDone && lists.open())
+      throw std::runtime_error("it ended in a list");
     if (state == net::HttpParser::State::kDone) return;
   }
 }
@@ -110,9 +123,8 @@
   backoff_.Reset();
 }
 
-void DiscoveryWatch::TakeLine(std::string_view line) {
-  if (line.find_first_not_of(" \r") == std::string_view::npos) return;
-  core::HolderList list = config::ParseHolders(line, config_);
+void DiscoveryWatch::TakeList(std::string_view text) {
+  core::HolderList list = config::ParseHolders(text, config_);
   auto news = directory_.Apply(list, clock_.Now());
   if (!news) return;
   log::Info("holder list {}{}: {} entries", list.version,
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -31,7 +31,7 @@
   void Pause(core::Micros span, const std::string& address);
   void Answered(const std::string& address);
   std::string Address() const;
-  void TakeLine(std::string_view line);
+  void TakeList(std::string_view text);
 
   const config::Config& config_;
   core::Directory& directory_;
--- /dev/null
+++ b/tests/list_test.cpp
@@ -0,0 +1,151 @@
+// Lists of holders as they may come: on one line or many, cut at any byte, long, or not to be understood.
+#define CATCH_CONFIG_MAIN
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "config/config.h"
+#include "net/object_stream.h"
+
+using namespace liftrudder;
+using Json = nlohmann::json;
+
+namespace {
+
+// Texts with everything in them that could be taken for structure.
+Json Value(int depth) {
+  static const std::vector<std::string> kTexts = {"",   "}",    "{\"a\":[", "\\",
+                                                  "\"", "a\nb", "\\\"}",    "\u00e9]"};
+  switch (*rc::gen::inRange(0, depth > 0 ? 5 : 3)) {
+    case 0:
+      return *rc::gen::inRange(-9, 9);
+    case 1:
+      return *rc::gen::elementOf(kTexts);
+    case 2:
+      return nullptr;
+    case 3:
+      return Json::array({Value(depth - 1), Value(depth - 1)});
+    default:
+      return Json{{*rc::gen::elementOf(kTexts), Value(depth - 1)}, {"k", Value(depth - 1)}};
+  }
+}
+
+std::string Blanks() {
+  return *rc::gen::elementOf(std::vector<std::string>{"", "\n", "\r\n", "\n\n", " \t", "\n  \n"});
+}
+
+std::vector<std::string> Cut(net::ObjectStream& stream, std::string_view text, std::size_t size, bool& ok) {
+  std::vector<std::string> out;
+  ok = true;
+  for (std::size_t at = 0; ok && at < text.size(); at += size)
+    ok = stream.Feed(text.substr(at, size), [&out](std::string_view one) { out.emplace_back(one); });
+  return out;
+}
+
+config::Config Known() {
+  config::Config config;
+  config.zones = {"z"};
+  config.kinds = {"k"};
+  return config;
+}
+
+}  // namespace
+
+TEST_CASE("objects come out as they went in, however they are written and wherever they are cut") {
+  rc::check([] {
+    std::vector<Json> in;
+    std::string text;
+    for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
+      in.push_back(Json{{"v", Value(3)}});
+      text += Blanks() + in.back().dump(*rc::gen::inRange(-1, 4)) + Blanks();
+    }
+    for (std::size_t size = 1; size <= text.size(); ++size) {
+      net::ObjectStream stream(text.size());
+      bool ok = false;
+      std::vector<std::string> out = Cut(stream, text, size, ok);
+      RC_ASSERT(ok);
+      RC_ASSERT(!stream.open());
+      RC_ASSERT(out.size() == in.size());
+      for (std::size_t i = 0; i < in.size(); ++i) RC_ASSERT(Json::parse(out[i]) == in[i]);
+    }
+  });
+}
+
+TEST_CASE("any bytes at all, cut anywhere: the same objects, or the same word on what is wrong") {
+  rc::check([] {
+    auto text =
+        *rc::gen::container<std::string>(rc::gen::elementOf(std::string("{{{}}}[[]]\"\"\\\n ,:a\x01")));
+    net::ObjectStream whole(32);
+    bool ok = false;
+    auto out = Cut(whole, text, std::max<std::size_t>(1, text.size()), ok);
+    for (std::size_t size = 1; size < text.size(); ++size) {
+      net::ObjectStream stream(32);
+      bool same = false;
+      RC_ASSERT(Cut(stream, text, size, same) == out);
+      RC_ASSERT(same == ok && stream.error() == whole.error() && stream.open() == whole.open());
+    }
+  });
+}
+
+TEST_CASE(
+    "what is no object, is too long or loses a quote is told with its place, and nothing is taken after it") {
+  auto wrong = [](std::string_view text) {
+    net::ObjectStream stream(12);
+    bool ok = true;
+    Cut(stream, text, 1, ok);
+    CHECK_FALSE(ok);
+    CHECK_FALSE(stream.Feed("{}", [](std::string_view) { FAIL("taken"); }));
+    return stream.error();
+  };
+  CHECK(wrong("{}\nx{}") == "neither a blank nor the beginning of an object (0x78) at byte 3");
+  CHECK(wrong("[{}]") == "neither a blank nor the beginning of an object (0x5b) at byte 0");
+  CHECK(wrong("{\"a\n\":1}") == "a control byte inside a text (0x0a) at byte 3");
+  CHECK(wrong("{} {\"a\":  123456}") == "an object of more than 12 bytes (0x36) at byte 15");
+}
+
+TEST_CASE("a list of 1,024 holders with long names is read, on one line and indented") {
+  Json servers = Json::array();
+  for (int i = 0; i < 1024; ++i) {
+    servers.push_back({{"id", fmt::format("s-{:0>200}", i)},
+                       {"addr", "127.0.0.1:9000"},
+                       {"zone", "z"},
+                       {"kind", "k"},
+                       {"cell", i},
+                       {"state", i % 2 == 0 ? "ready" : "draining"},
+                       {"weight", 1.5},
+                       {"started_ms", i}});
+  }
+  Json all = {{"version", 7}, {"full", true}, {"servers", servers}};
+  for (int indent : {-1, 4}) {
+    core::HolderList list = config::ParseHolders(all.dump(indent), Known());
+    CHECK(list.version == 7);
+    CHECK(list.kind == tinsail::ListKind::kFull);
+    REQUIRE(list.entries.size() == 1024);
+    CHECK(list.entries[1023].id == fmt::format("s-{:0>200}", 1023));
+    CHECK(list.entries[1023].told.cell == 1023);
+    CHECK(list.entries[1023].told.launched_us == 1'023'000);
+    CHECK(list.entries[1023].told.weight == 1.5);
+    CHECK(list.entries[1023].told.availability == tinsail::Availability::kDraining);
+  }
+}
+
+TEST_CASE("a list that is not understood says which entry and why") {
+  auto wrong = [](const std::string& entry) -> std::string {
+    std::string good = R"({"id":"a","addr":"h:1","cell":0,"state":"ready"})";
+    try {
+      config::ParseHolders(R"({"version":9,"full":false,"servers":[)" + good + "," + entry + "]}", Known());
+    } catch (const std::runtime_error& error) {
+      return error.what();
+    }
+    return "";
+  };
+  CHECK(wrong(R"({"id":"b","state":"ready"})").empty());
+  CHECK(wrong(R"({"id":"b","state":"asleep"})") == R"(holder list 9: entry 2: unknown state "asleep")");
+  CHECK(wrong(R"({"id":"b"})") == "holder list 9: entry 2: no state");
+  CHECK(wrong(R"({"state":"gone"})") == "holder list 9: entry 2: no id");
+  CHECK(wrong(R"({"id":"b","state":"ready","cell":"x"})") ==
+        "holder list 9: entry 2: cell is \"x\", not an integer");
+  CHECK(wrong("7") == "holder list 9: entry 2: not an object");
+}
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -198,6 +198,8 @@
       if (log_.find(rest) != log_.rfind(rest)) throw std::runtime_error("said more than once:\n" + log_);
     } else if (verb == "list") {
       Tell(who, rest);
+    } else if (verb == "indented") {
+      TellIndented(who, words);
     } else if (verb == "expect") {
       Expect(who, rest);
     } else if (verb == "ended") {
@@ -303,13 +305,35 @@
   void Tell(const std::string& who, const std::string& state) {
     Until([&] { return !discovery_.lines.empty(); }, "no watch");
     Json line = {{"version", ++version_}, {"full", false}, {"servers", {Entry(Name(who), state)}}};
-    std::string text = line.dump() + "\n";
+    Say(line.dump());
+  }
+
+  void Say(const std::string& list) {
+    std::string text = list + "\n";
     std::ostringstream chunk;
     chunk << std::hex << text.size() << "\r\n" << text << "\r\n";
     Write(discovery_.lines.back(), chunk.str());
     told_ = std::chrono::steady_clock::now();
   }
 
+  // The whole list with one entry changed, indented, and `others` more of no use here.
+  void TellIndented(const std::string& who, std::istringstream& words) {
+    Until([&] { return !discovery_.lines.empty(); }, "no watch");
+    std::string state;
+    int others = 0;
+    words >> state >> others;
+    Json all = Json::array();
+    for (const auto& [name, peer] : holders_) all.push_back(Entry(name, name == Name(who) ? state : "ready"));
+    for (int i = 0; i < others; ++i) {
+      Json entry = all.front();
+      entry["id"] = "other-" + std::string(40, 'x') + std::to_string(i);
+      entry["cell"] = 1;
+      entry["state"] = "draining";
+      all.push_back(entry);
+    }
+    Say("\n\n" + Json{{"version", ++version_}, {"full", true}, {"servers", all}}.dump(2) + "\n");
+  }
+
   void WriteConfig(const std::string& text) { std::ofstream(folder_ + "/config.json") << text; }
 
   void Reload(bool bad) {
--- a/tests/scenario.h
+++ b/tests/scenario.h
@@ -22,6 +22,7 @@
 //   certificate C NAMES      client C shows one with these names, such as DNS:a.example
 //   finished C               C's connection has been closed, and not cut: the last word came
 //   list NAME STATE          discovery tells of a holder: ready, draining or gone
+//   indented NAME STATE [N]  the same in a whole list over many lines, with N more holders that drain
 //   expect X GLOB            the next message at X matches (a holder's name, a client's, or any: the holder
 //                            that gets one next, called `it` from then on, and the next other one `other`)
 //   ended X                  X's connection has been closed by the program
