Nothing new to a leaving holder from when it is heard; the agent's word before clients are served

Seen by reading: Directory::StopSending let parts that wait for a connection begin until 970 ms after the list was heard, while the rule's second runs from when it was told. On a share of a core, or where the watch was silent, the time between is the gatherer's own delay, and what it used up was given again. A new process served by 'known' while its watch was still opening; what the agent has counts as told from its first moment.

Ruled out: the look before the first byte. It is made in Pump and again in Flush while nothing of the frame is written, for first sends, resends and copies alike (one queue). The module itself picks no holder that drains.

At fault: directory.cpp kStopMargin and StopSending; main.cpp, which took clients in before any list had come.

Change: a part whose first byte has not gone out when a leaving is heard goes elsewhere at once (proved not to have run). With an agent of its own the program takes clients in when the agent has told what it had, or had nothing newer, or after a quarter of stopSendingWithinUs; connections wait in the listener meanwhile. The log tells a silent watch from one that ended.

--- a/bench/why_cost.cpp
+++ b/bench/why_cost.cpp
@@ -78,7 +78,7 @@
 Cost CoreCost(bool record, bool readers, int queries) {
   tinsail::Settings settings = CoreSettings();
   net::SteadyClock clock;
-  core::Directory directory(settings);
+  core::Directory directory;
   metrics::Counters counters;
   core::Core core(settings, 7, clock, directory, counters);
   Echo echo(core);
--- a/src/core/directory.cpp
+++ b/src/core/directory.cpp
@@ -1,23 +1,27 @@
 #include "core/directory.h"
 
 #include <algorithm>
+#include <chrono>
 #include <set>
 
 namespace liftrudder::core {
 namespace {
 
 constexpr Micros kForget = 30'000'000;  // longer than any query's budget
-constexpr Micros kStopMargin = 30'000;  // between the last look at the limit and the first byte on the wire
 
 }  // namespace
 
-void Directory::StopSending(HolderAddress& holder, Micros told_us) const {
-  if (holder.stop_sending_us == 0)
-    holder.stop_sending_us = told_us + std::max<Micros>(0, settings_.stop_sending_within_us - kStopMargin);
+// At once, not when the settings' time is over: that runs from when the change was told, and how much later
+// it was heard here is not known; on a small share of a core, or while a watch was broken, that may be most
+// of it. The module picks others from the same list; what still waits for a connection is not sent, and goes
+// to them.
+void Directory::StopSending(HolderAddress& holder, Micros told_us) {
+  if (holder.stop_sending_us == 0) holder.stop_sending_us = told_us;
 }
 
 std::optional<tinsail::ListNews> Directory::Apply(const HolderList& list, Micros told_us) {
   std::lock_guard lock(mutex_);
+  if (list.kind != tinsail::ListKind::kCached) heard_ = true, told_.notify_all();
   // A list that came by another way late must not bring a drained holder back.
   bool whole = list.kind != tinsail::ListKind::kDelta;
   if (any_ && (whole ? list.version < version_ : list.version <= version_)) return std::nullopt;
@@ -77,6 +81,22 @@
   return found == holders_.end() ? HolderAddress{} : found->second;
 }
 
+void Directory::NothingNewer() {
+  std::lock_guard lock(mutex_);
+  heard_ = true;
+  told_.notify_all();
+}
+
+bool Directory::WaitHeard(Micros wait_us) const {
+  std::unique_lock lock(mutex_);
+  return told_.wait_for(lock, std::chrono::microseconds(wait_us), [this] { return heard_; });
+}
+
+int Directory::Listed() const {
+  std::lock_guard lock(mutex_);
+  return static_cast<int>(holders_.size() - gone_.size());
+}
+
 std::uint64_t Directory::Version() const {
   std::lock_guard lock(mutex_);
   return version_;
--- a/src/core/directory.h
+++ b/src/core/directory.h
@@ -2,6 +2,7 @@
 #ifndef LIFTRUDDER_CORE_DIRECTORY_H_
 #define LIFTRUDDER_CORE_DIRECTORY_H_
 
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -26,20 +27,26 @@
 
 class Directory : public HolderDirectory {
  public:
-  explicit Directory(const tinsail::Settings& settings) : settings_(settings) {}
 
   // What the module is to be told; nothing when the list is older than what is known.
   std::optional<tinsail::ListNews> Apply(const HolderList& list, Micros told_us);
   HolderAddress Find(const ReplicaId& holder) const override;
   std::uint64_t Version() const;
+  // Holders that are not gone, those that drain included.
+  int Listed() const;
+  // Who would tell of a newer list has been asked and had none.
+  void NothingNewer();
+  // Until a list has come since the start, beside the one that was known before it, or was not needed; waits at most
+  // so long.
+  bool WaitHeard(Micros wait_us) const;
 
  private:
-  void StopSending(HolderAddress& holder, Micros told_us) const;
+  static void StopSending(HolderAddress& holder, Micros told_us);
   void Forget(Micros now);
 
-  const tinsail::Settings settings_;
   mutable std::mutex mutex_;
-  bool any_ = false;
+  mutable std::condition_variable told_;
+  bool any_ = false, heard_ = false;
   std::uint64_t version_ = 0;
   std::map<std::string, ReplicaId> ids_;
   std::map<ReplicaId, HolderAddress> holders_;
--- a/src/limits/list_waits.cpp
+++ b/src/limits/list_waits.cpp
@@ -24,6 +24,10 @@
 // which a drain runs: none at the start, later these shares of the time after which sends must have stopped.
 constexpr double kAgentFirstShare = 1.0 / 40;
 constexpr double kAgentMostShare = 1.0 / 4;
+// What the agent has counts as told from the first moment of a new process, and holders that leave may have
+// been named to it long before: nothing is sent by the older list, unless the agent says nothing for so long:
+// what a silent one misses counts as told seconds later only.
+constexpr double kAgentServeShare = 1.0 / 4;
 constexpr Micros kStopSending = 1'000'000;  // where the settings say nothing
 
 Micros Share(double share, Micros of) { return static_cast<Micros>(share * static_cast<double>(of)); }
@@ -33,13 +37,13 @@
 ListWaits ListWaitsOf(const tinsail::Settings& settings) {
   if (!settings.must_subscribe) {
     Micros stop = settings.stop_sending_within_us > 0 ? settings.stop_sending_within_us : kStopSending;
-    return {0, Share(kAgentFirstShare, stop), Share(kAgentMostShare, stop)};
+    return {0, Share(kAgentServeShare, stop), Share(kAgentFirstShare, stop), Share(kAgentMostShare, stop)};
   }
   Micros within = settings.ask_within_us > 0 ? settings.ask_within_us : kAskWithin;
   auto span = [&](Micros slice, double share) {
     return std::min(slice * settings.group_size, Share(share, within));
   };
-  return {span(kStartSlice, kStartShare), span(kFirstSlice, kFirstShare), span(kMostSlice, kMostShare)};
+  return {span(kStartSlice, kStartShare), 0, span(kFirstSlice, kFirstShare), span(kMostSlice, kMostShare)};
 }
 
 }  // namespace liftrudder::limits
--- a/src/limits/list_waits.h
+++ b/src/limits/list_waits.h
@@ -10,6 +10,7 @@
 
 struct ListWaits {
   tinsail::Micros start_us = 0;  // before the first call of all
+  tinsail::Micros serve_us = 0;  // for its answer, before clients are served from the list known before
   tinsail::Micros first_us = 0;  // after the first failure; doubled by each further one
   tinsail::Micros most_us = 0;   // up to this one
 };
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,6 +15,7 @@
 #include "config/config.h"
 #include "core/core.h"
 #include "dns/update.h"
+#include "limits/list_waits.h"
 #include "log/log.h"
 #include "net/holder_links.h"
 #include "net/server.h"
@@ -101,7 +102,7 @@
   bool asks_clients = tls != nullptr && !tls->source().Get()->material().client_ca.empty();
   if (identity != nullptr && !asks_clients && !identity->callers().book()->by_certificate.empty())
     throw std::runtime_error("identity: a tenant has [certificates], but [tls] asks no client for one");
-  lr::core::Directory directory(config.settings);
+  lr::core::Directory directory;
   lr::core::Core core(config.settings, config.seed, clock, directory, counters);
   lr::platform::FrameDialect frames(config.load_names);
   lr::opensearch::SearchDialect searches;
@@ -151,9 +152,18 @@
                   config.budget.client_connections, config.budget.client_requests,
                   config.budget.holder_connections, config.cores);
     lr::log::Info("{} listens on {}", config.name, lr::net::LocalAddress(listener));
+    // Who connects meanwhile waits to be taken in.
+    if (watch && !directory.WaitHeard(lr::limits::ListWaitsOf(config.settings).serve_us))
+      lr::log::Info("no holder list from discovery yet; the one known before serves, version {}",
+                    directory.Version());
     lr::net::Server server(std::move(listener), *front, clock, counters,
                            {config.budget.client_connections, config.budget.client_requests},
                            tls == nullptr ? nullptr : &tls->source());
+    {
+      std::lock_guard lock(shares);
+      clients = &server;
+    }
+    share();
     std::function<void()> look;
     if (identity != nullptr || tls != nullptr) {
       look = [identity, &tls] {
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -15,6 +15,8 @@
 // The watch beats every 2 s; what it had to tell counts as told 6 s later, so a silent one is left soon.
 constexpr core::Micros kSilence = 3'000'000;
 constexpr core::Micros kSlice = 200'000;
+// What it has it tells at once, behind its head; where that is all for so long, there is nothing newer.
+constexpr core::Micros kFirstWord = 20'000;
 // A list has an entry for each holder, and as many again for those that replace others; few groups have more
 // than a thousand. An entry is some 130 bytes on one line and twice that indented; names may be long.
 constexpr std::size_t kLeastEntries = 1024, kEntriesPerCell = 4;
@@ -94,9 +96,13 @@
   net::ObjectStream lists(MostListBytes(config_.settings));
   std::string pending;
   core::Micros heard_us = clock_.Now();
+  bool settled = false;  // it has told what it had when it was asked
   // An address that was left may go on beating for a while and tell nothing new any more.
   while (!stopping_ && clock_.Now() - heard_us < kSilence && Address() == address) {
-    net::Io got = net::ReadSome(fd, pending, kSlice);
+    bool asked = !settled && parser.message().status == 200;
+    net::Io got = net::ReadSome(fd, pending, asked ? kFirstWord : kSlice);
+    if (got == net::Io::kTimeout && asked) directory_.NothingNewer();
+    settled = settled || asked;
     if (got == net::Io::kTimeout) continue;
     if (got != net::Io::kOk) return;
     heard_us = clock_.Now();
@@ -115,6 +121,7 @@
       throw std::runtime_error("it ended in a list");
     if (state == net::HttpParser::State::kDone) return;
   }
+  if (clock_.Now() - heard_us >= kSilence) throw std::runtime_error("it fell silent");
 }
 
 void DiscoveryWatch::Answered(const std::string& address) {
