Connections follow the list as it grows; no cap below 1,024 holders or shards

Seen by reading: config::ShareOut ran once, on the list at the start, and HolderLinks kept its figure for good; descriptors that were out were told to the module as a holder's failure (BeginConnect); at the cap the connection unused longest was closed, which with more holders than places is the one that the next wide query wants first; queries for over 1,000 parts were refused (kMaxParts); the record kept the names of 32 to 1,024 holders by its bytes.

Change: with each list that outgrows the share (or falls below half of it) both sides' shares are worked out anew; clients beyond theirs go when idle. No descriptor means no room, not a failure. Where holders are more than places the connection used last makes room. A query has as many parts as there are shards. The record has 1,024 holders' names and counts always, counts packed in an eighth of the words; its least size is 1 MiB, its format version 2.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -81,7 +81,7 @@
 // A share of the memory that holds a minute and more of a busy gatherer's queries, and is not missed by
 // serving.
 WhyOptions Why(std::string_view text, int memory_mb) {
-  static constexpr std::int64_t kShare = 48, kLeast = kMiB / 2, kMost = 8 * kMiB, kLargest = 64 * kMiB;
+  static constexpr std::int64_t kShare = 48, kLeast = kMiB, kMost = 8 * kMiB, kLargest = 64 * kMiB;
   WhyOptions out;
   out.bytes = static_cast<std::size_t>(std::clamp(memory_mb * kMiB / kShare, kLeast, kMost));
   if (text.empty()) return out;
@@ -193,8 +193,9 @@
   out.known.kind = tinsail::ListKind::kCached;
   // The list may be short or old: there is a holder for each cell at least.
   int holders = std::max(static_cast<int>(out.known.entries.size()), out.settings.cells);
-  out.budget = ShareOut(static_cast<int>(IntegerOr(limits, "sockets", 1024)),
-                        memory_mb - static_cast<int>((out.why.bytes + kMiB - 1) / kMiB), holders);
+  out.sockets = static_cast<int>(IntegerOr(limits, "sockets", out.sockets));
+  out.memory_mb = memory_mb - static_cast<int>((out.why.bytes + kMiB - 1) / kMiB);
+  out.budget = ShareOut(out.sockets, out.memory_mb, holders);
   return out;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -35,7 +35,8 @@
   int streams_per_connection = 100;
   double cores = 1;
   core::HolderList known;
-  Budget budget;
+  int sockets = 1024, memory_mb = 192;  // the limits, of the memory what the record leaves
+  Budget budget;                        // for the holders known at the start
   WhyOptions why;
 };
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -35,6 +36,8 @@
        const HolderDirectory& directory, metrics::Counters& counters);
 
   void Attach(HolderTransport& transport) { transport_ = &transport; }
+  // Before Run: called on the core's thread after each list, which may be longer than those before.
+  void OnList(std::function<void()> on_list) { on_list_ = std::move(on_list); }
   // Before Run; without one nothing is recorded.
   void Attach(why::Recorder& recorder) { recorder_ = &recorder; }
 
@@ -95,6 +98,7 @@
   metrics::Counters& counters_;
   HolderTransport* transport_ = nullptr;
   why::Recorder* recorder_ = nullptr;
+  std::function<void()> on_list_;
 
   std::mutex mutex_;
   std::condition_variable wake_;
--- a/src/core/intake.cpp
+++ b/src/core/intake.cpp
@@ -60,6 +60,7 @@
   }
   events_.push_back(std::move(news));
   transport_->ForgetGone();
+  if (on_list_) on_list_();
 }
 
 }  // namespace liftrudder::core
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <exception>
 #include <functional>
+#include <mutex>
 #include <stdexcept>
 
 #include "app/identity_command.h"
@@ -127,6 +128,22 @@
   if (zone.file.empty()) {
     if (auto news = directory.Apply(config.known, clock.Now())) core.Post(std::move(*news));
   }
+  // Lists may grow far beyond the one at the start; the descriptors are shared out anew then.
+  std::mutex shares;
+  lr::net::Server* clients = nullptr;
+  int shared_for = config.budget.holders;
+  auto share = [&] {
+    std::lock_guard lock(shares);
+    int holders = std::max(directory.Listed(), config.settings.cells);
+    if (clients == nullptr || (holders <= shared_for && holders >= shared_for / 2)) return;
+    shared_for = holders;
+    lr::config::Budget budget = lr::config::ShareOut(config.sockets, config.memory_mb, holders);
+    clients->Resize({budget.client_connections, budget.client_requests});
+    links->Resize(budget.holder_connections, budget.holders);
+    lr::log::Info("{} holders: room for {} connections of clients and {} to holders", holders,
+                  budget.client_connections, budget.holder_connections);
+  };
+  core.OnList(share);
   lr::net::Thread core_thread([&core] { core.Run(); });
   {
     std::optional<lr::platform::DiscoveryWatch> watch;
@@ -177,6 +194,10 @@
       if (tls != nullptr) tls->Reload();
     };
     WaitForEnd(signals, counters, reload, look);
+    {
+      std::lock_guard lock(shares);
+      clients = nullptr;
+    }
     server.Drain();
     lr::log::Info("told to end; {} queries are open", core.Open());
     Pause(kStillListening);
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -109,6 +109,13 @@
   }
 }
 
+void HolderLinks::Resize(int max_connections, int holders) {
+  std::lock_guard lock(mutex_);
+  limits_.max_connections = max_connections;
+  limits_.holders = holders;
+  ServeStarved();
+}
+
 // Guards a long day, in which holders are replaced for ever, against connections for each of them.
 void HolderLinks::ForgetGone() {
   std::lock_guard lock(mutex_);
@@ -301,6 +308,9 @@
   if (Full() && !MakeRoom()) return Begun::kNoRoom;
   std::string addr = directory_.Find(link.holder).addr;
   Fd fd = BeginConnect(addr);
+  // Descriptors are out although the share of them is not: the other side still holds some of ours.
+  if (!fd.Valid() && OutOfDescriptors() && MakeRoom()) fd = BeginConnect(addr);
+  if (!fd.Valid() && OutOfDescriptors()) return Begun::kNoRoom;
   if (!fd.Valid()) {
     counters_.connects_failed.Add();
     return Begun::kFailed;
@@ -322,15 +332,19 @@
   return Begun::kYes;
 }
 
-// At the cap the connection that has stood idle longest makes room: it may belong to a holder seldom met.
+// At the cap an idle connection makes room: the one unused longest, since its holder may be one seldom met.
+// But where the list is longer than the cap a wide query goes over all holders in turn, and that one is just
+// what the next query wants first: taken each time, all would be opened anew for each query. There the one
+// used last makes room, and most of the others stay.
 bool HolderLinks::MakeRoom() {
-  auto oldest = connections_.end();
+  bool newest = limits_.holders > limits_.max_connections;
+  auto worst = connections_.end();
   for (auto one = connections_.begin(); one != connections_.end(); ++one) {
     if (!one->second.up || !one->second.out.empty()) continue;
-    if (oldest == connections_.end() || one->second.used_us < oldest->second.used_us) oldest = one;
+    if (worst == connections_.end() || (one->second.used_us < worst->second.used_us) != newest) worst = one;
   }
-  if (oldest == connections_.end()) return false;
-  Drop(oldest->first, oldest->second, core::Cause::kConnectionLost);
+  if (worst == connections_.end()) return false;
+  Drop(worst->first, worst->second, core::Cause::kConnectionLost);
   return true;
 }
 
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -57,7 +57,7 @@
   Micros idle_close_us = 30'000'000;
   int streams_per_connection = 100;
   int max_connections = 128;  // of all links together
-  int holders = 0;            // as many are known of from the start
+  int holders = 0;            // as many are known of
 };
 
 using ResultSink = std::function<void(core::AttemptResult)>;
@@ -74,6 +74,8 @@
   void Withdraw(const core::AttemptKey& key, const core::ReplicaId& holder, core::Cause cause) override;
   void CloseIdle(const core::ReplicaId& holder) override;
   void ForgetGone() override;
+  // The list has grown or shrunk, and with it what both sides may hold.
+  void Resize(int max_connections, int holders);
 
  private:
   using Number = std::uint64_t;  // a connection's; never given twice, so that late events find nothing
@@ -148,7 +150,7 @@
   const Dialect& dialect_;
   const core::HolderDirectory& directory_;
   const core::Clock& clock_;
-  const LinkLimits limits_;
+  LinkLimits limits_;
   const Micros idle_limit_us_;
   metrics::Counters& counters_;
   const ResultSink sink_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -38,7 +38,8 @@
       handler_(handler),
       clock_(clock),
       counters_(counters),
-      limits_(limits),
+      most_connections_(limits.connections),
+      most_requests_(limits.requests),
       tls_(tls),
       lingerer_(kLingering),
       epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
@@ -53,6 +54,11 @@
   while (!WaitClosed(kRequestWait)) log::Error("client connections stay open");
 }
 
+void Server::Resize(const ServerLimits& limits) {
+  most_connections_ = limits.connections;
+  most_requests_ = limits.requests;
+}
+
 void Server::StopListening() {
   {
     std::lock_guard lock(mutex_);
@@ -155,7 +161,7 @@
     }
   }
   // In the list in the order in which they came.
-  auto most = static_cast<std::size_t>(std::max(1, limits_.connections / kShakingShare));
+  auto most = static_cast<std::size_t>(std::max(1, most_connections_ / kShakingShare));
   for (std::size_t i = 0; i + most < shaking.size(); ++i) {
     counters_.evicted.Add();
     Remove(shaking[i]).Finish();
@@ -194,8 +200,8 @@
   {
     std::lock_guard lock(mutex_);
     int open = static_cast<int>(sessions_.size());
-    if (open < limits_.connections * 3 / 4) return true;
-    full = open >= limits_.connections;
+    if (open < most_connections_ * 3 / 4) return true;
+    full = open >= most_connections_;
     for (Place one = sessions_.begin(); one != sessions_.end(); ++one) {
       if (one->phase == Phase::kBusy || (worst != sessions_.end() && rank(*one) <= rank(*worst))) continue;
       if (Peek(one->line.fd()) != Sight::kBytes) worst = one;
@@ -228,7 +234,9 @@
       }
     }
     std::ranges::sort(idle, {}, [](Place one) { return one->since_us; });
-    idle.resize(std::min(idle.size(), static_cast<std::size_t>(std::max(0, served - limits_.requests / 2))));
+    int beyond = static_cast<int>(sessions_.size()) - most_connections_;
+    int due = std::max({0, served - most_requests_ / 2, beyond});
+    idle.resize(std::min(idle.size(), static_cast<std::size_t>(due)));
   }
   counters_.evicted.Add(static_cast<std::int64_t>(idle.size()));
   overdue.insert(overdue.end(), idle.begin(), idle.end());
@@ -273,7 +281,7 @@
 
 void Server::HandOver(Place place) {
   std::unique_lock lock(mutex_);
-  bool room = busy_ < limits_.requests;
+  bool room = busy_ < most_requests_;
   if (room && idle_workers_ <= static_cast<int>(ready_.size())) {
     room = Detach([this] { Work(); });
     workers_ += room ? 1 : 0;
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -56,6 +56,8 @@
          const ServerLimits& limits, const TlsSource* tls = nullptr);
   ~Server();
 
+  // What is open beyond that stays until it is idle.
+  void Resize(const ServerLimits& limits);
   // From then on it says that it is not ready, and serves on until StopListening: then connections end when
   // nothing is open on them.
   void Drain() { draining_ = true; }
@@ -100,7 +102,7 @@
   Handler& handler_;
   const core::Clock& clock_;
   metrics::Counters& counters_;
-  const ServerLimits limits_;
+  std::atomic<int> most_connections_, most_requests_;
   const TlsSource* tls_;  // null: none
   Lingerer lingerer_;
   Fd epoll_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -96,11 +96,16 @@
 
 Fd BeginConnect(const std::string& address) {
   auto to = Parse(address);
+  errno = EINVAL;
   if (!to) return Fd();
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   if (!fd.Valid()) return fd;
-  if (::connect(fd.Get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0 && errno != EINPROGRESS)
-    return Fd();
+  if (::connect(fd.Get(), reinterpret_cast<sockaddr*>(&*to), sizeof *to) != 0 && errno != EINPROGRESS) {
+    int error = errno;
+    fd = Fd();
+    errno = error;
+    return fd;
+  }
   int on = 1;
   setsockopt(fd.Get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   return fd;
@@ -112,6 +117,10 @@
   return getsockopt(fd.Get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 ? errno : error;
 }
 
+bool OutOfDescriptors() {
+  return errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+}
+
 Fd Connect(const std::string& address, Micros wait_us) {
   Micros until = Until(wait_us);
   Fd fd = BeginConnect(address);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -52,6 +52,8 @@
 // The same without waiting: it is up, or has failed, when it can be written; `ConnectError` says which.
 Fd BeginConnect(const std::string& address);
 int ConnectError(const Fd& fd);
+// Why a call just failed to give a descriptor: this program or the machine has no more of them.
+bool OutOfDescriptors();
 Fd Listen(const std::string& address);
 std::string LocalAddress(const Fd& fd);
 // The other side's address without its port, in numbers; empty when it has gone.
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -15,7 +15,6 @@
 
 namespace json = net::json;
 
-constexpr std::size_t kMaxParts = 1000;
 constexpr std::size_t kMaxName = 128;
 constexpr double kWeightSlack = 1e-3;  // weights sum to 1 but for what rounding takes off each of them
 constexpr double kWeightRounding = 1e-4;
@@ -168,7 +167,7 @@
   ok = json::Elements(tablets, [&](std::string_view text) {
     core::PartRequest part;
     if (!ReadPart(text, part) || part.shard >= config_.settings.shards) return false;
-    if (!shards.insert(part.shard).second || query.parts.size() >= kMaxParts) return false;
+    if (!shards.insert(part.shard).second) return false;  // so there are no more than shards
     query.parts.push_back(part);
     sum += part.weight;
     return true;
--- a/src/why/arena.cpp
+++ b/src/why/arena.cpp
@@ -47,7 +47,7 @@
 Layout Layout::Of(std::size_t bytes) {
   Layout out;
   out.bytes = std::clamp(bytes, kLeastBytes, kMostBytes) / kPage * kPage;
-  out.holders = std::clamp<std::size_t>(out.bytes / 4096, 32, 1024);
+  out.holders = kHolders;
   out.seen = out.bytes / 8 / 16;
   std::size_t at = kHeaderBytes / 8;
   auto take = [&at](std::size_t words) { return std::exchange(at, at + words); };
--- a/src/why/arena.h
+++ b/src/why/arena.h
@@ -15,18 +15,23 @@
 
 namespace liftrudder::why {
 
-constexpr std::uint32_t kFormatVersion = 1;
+constexpr std::uint32_t kFormatVersion = 2;
 constexpr std::size_t kHeaderBytes = 4096;
 constexpr std::size_t kBlockWords = 32;     // 256 bytes
 constexpr std::size_t kBlockHeadWords = 3;  // of them: sequence and checksum; entry and use; next and verdict
 constexpr std::size_t kHolderWords = 16;    // a holder's name and address
-constexpr std::size_t kHolderTallies = 4 * 8;  // four kinds, eight buckets of kBucketSeconds
-constexpr std::size_t kSeconds = 64;           // of which counts are kept second by second
-constexpr std::size_t kTallies = 96;           // kinds of count; see counts.h
+constexpr std::size_t kHolders = 1024;      // of whom names and tallies are kept at a time
+// A word for each of eight buckets of kBucketSeconds: the bucket's number, and 12 bits for each of four
+// kinds.
+constexpr std::size_t kHolderTallies = 8;
+constexpr int kTallyBits = 12;
+constexpr std::uint64_t kMostTally = (1u << kTallyBits) - 1;  // it counts no further
+constexpr std::size_t kSeconds = 64;                          // of which counts are kept second by second
+constexpr std::size_t kTallies = 96;                          // kinds of count; see counts.h
 constexpr std::uint32_t kBucketSeconds = 8;
 constexpr std::size_t kMostClasses = 16;
 constexpr std::size_t kClassName = 32;
-constexpr std::size_t kLeastBytes = 128 * 1024;
+constexpr std::size_t kLeastBytes = 512 * 1024;
 constexpr std::size_t kMostBytes = 64 * 1024 * 1024;  // a scan, with its pauses, ends within some 2 s
 
 // Where everything lies. All counts follow from the size alone, so a reader can check them.
--- a/src/why/reader.cpp
+++ b/src/why/reader.cpp
@@ -349,7 +349,10 @@
     std::uint64_t* counts[] = {&holder.sent, &holder.resent_after, &holder.refused_for, &holder.missing};
     for (std::size_t i = 0; i < kHolderTallies; ++i) {
       std::uint64_t word = arena_.Load(layout.holder_tally_at + slot * kHolderTallies + i);
-      if (word != 0 && High(word) + 8 > bucket) *counts[i / 8] += Low(word);
+      // The bucket's number is kept short: it comes round again after six days.
+      auto age = static_cast<std::uint16_t>(static_cast<std::uint64_t>(bucket) - (word >> 48));
+      if (word == 0 || age >= kHolderTallies) continue;
+      for (int kind = 0; kind < 4; ++kind) *counts[kind] += word >> kind * kTallyBits & kMostTally;
     }
     if (holder.sent + holder.resent_after + holder.refused_for + holder.missing > 0)
       out.holders.push_back(std::move(holder));
--- a/src/why/recorder.cpp
+++ b/src/why/recorder.cpp
@@ -526,11 +526,14 @@
 void Recorder::CountHolder(std::uint32_t holder, HolderTally kind) {
   const Layout& layout = arena_.layout();
   auto bucket = static_cast<std::uint32_t>(now_us_ / 1'000'000 / kBucketSeconds);
-  std::size_t at = layout.holder_tally_at + holder % layout.holders * kHolderTallies +
-                   static_cast<std::size_t>(kind) * 8 + bucket % 8;
+  std::size_t at =
+      layout.holder_tally_at + holder % layout.holders * kHolderTallies + bucket % kHolderTallies;
   std::uint64_t word = arena_.Load(at);
-  std::uint64_t count = word >> 32 == bucket ? (word & 0xffffffff) + 1 : 1;
-  arena_.Store(at, std::uint64_t{bucket} << 32 | std::min<std::uint64_t>(count, 0xffffffff));
+  std::uint64_t mark = bucket & 0xffff;
+  if (word >> 48 != mark) word = mark << 48;
+  int shift = static_cast<int>(kind) * kTallyBits;
+  if ((word >> shift & kMostTally) < kMostTally) word += std::uint64_t{1} << shift;
+  arena_.Store(at, word);
 }
 
 // Two words: the id's hash; the second, verdict, class, cause and, against a torn pair, eight bits of the
--- /dev/null
+++ b/tests/wide_test.cpp
@@ -0,0 +1,135 @@
+// A list that grows to 1,024 holders on the started program, with fewer descriptors than holders and little
+// memory: all shards are served, a holder that is told to leave gets nothing more, and the limits hold.
+#define CATCH_CONFIG_MAIN
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <thread>
+
+#include "standin/discovery.h"
+#include "standin/field.h"
+#include "standin/folder.h"
+#include "standin/gatherer.h"
+
+using namespace liftrudder;
+
+namespace {
+
+constexpr int kHolders = 1024, kFirst = 4, kSockets = 640, kMemoryMb = 64;
+constexpr net::Micros kServeUs = 5'000;
+
+std::string Config(const standin::Discovery& discovery) {
+  return fmt::format(
+      R"({{"name":"n1","seed":"8c1f30d27a5be964","listen":"127.0.0.1:0","discovery":"{}","limits":{{"cores":1,"sockets":{},"memory_mb":{}}},
+"known":{},"settings":{{"az":0,"groupSize":{},"ordinal":0,"resolutionUs":1000,"dcs":[],"kinds":["k"],
+"registryMode":"automatic","loadInfo":{{"how":"inline","names":["queue","inflight"]}},
+"grades":[{{"name":"report","aimUs":15000000,"giveUpUs":20000000,"lateShare":0.3,"value":5.0,"effect":"idempotent","repeatWindowUs":5000000,"dedupScope":"all"}}],
+"familyInfo":{{"cells":{},"reach":3,"slices":{},"perCall":1,"classFetch":[0],"classFloor":[1.0],"wholeAt":[1.0],"incompleteWorth":[0.95]}},
+"bounds":{{"attemptsCap":3,"cancelling":true,"connectTimeoutUs":250000,"idleCloseUs":30000000,"maxOpen":5000,"maxRetryAfterUs":500000,"probes":true,"retryAfter":true,"secondCopies":true,"streamsPerConn":100}},
+"rules":{{"graceToAnswerUs":5000,"stopSendingWithinUs":1000000}}}}}})",
+      discovery.addr(), kSockets, kMemoryMb, discovery.List(), kHolders, kHolders, kHolders);
+}
+
+std::string Name(int holder) { return fmt::format("holder-{:0>64}", holder); }
+
+net::HttpMessage AskAll(const std::string& addr, const std::string& id) {
+  std::string tablets;
+  for (int shard = 0; shard < kHolders; ++shard)
+    tablets +=
+        fmt::format("{}{{\"tablet\":{},\"fraction\":{:.9f}}}", shard > 0 ? "," : "", shard, 1.0 / kHolders);
+  std::string body = fmt::format("{{\"tablets\":[{}],\"statement\":\"s\"}}", tablets);
+  return standin::Fetch(
+      addr, fmt::format("POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: {}\r\nX-Call-Class: report\r\n"
+                        "X-Budget: 19\r\nContent-Length: {}\r\n\r\n{}",
+                        id, body.size(), body));
+}
+
+std::size_t Count(const std::string& text, std::string_view what) {
+  std::size_t count = 0;
+  for (auto at = text.find(what); at != std::string::npos; at = text.find(what, at + 1)) ++count;
+  return count;
+}
+
+// A line of /proc/PID/status, its first number.
+long Status(pid_t pid, const std::string& name) {
+  std::ifstream in(fmt::format("/proc/{}/status", pid));
+  for (std::string line; std::getline(in, line);) {
+    if (line.starts_with(name + ":")) return std::stol(line.substr(name.size() + 1));
+  }
+  return -1;
+}
+
+long Descriptors(pid_t pid) {
+  return std::distance(std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", pid)), {});
+}
+
+void WaitLog(const standin::Gatherer& gatherer, const std::string& text) {
+  net::SteadyClock clock;
+  for (net::Micros until = clock.Now() + standin::kPatience; clock.Now() < until;) {
+    if (gatherer.Log().find(text) != std::string::npos) return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  FAIL("the log does not say: " << text << "\n" << gatherer.Log());
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a list that grows from a few holders to 1,024 is served within the limits, a drain in its middle") {
+  standin::Field field(kHolders, kServeUs);
+  standin::Discovery discovery;
+  discovery.Indent();
+  std::vector<standin::Discovery::Entry> few, rest;
+  for (int i = 0; i < kHolders; ++i) (i < kFirst ? few : rest).push_back({Name(i), field.addr(i), i});
+  discovery.Tell(few);
+  standin::Folder folder;
+  standin::Gatherer gatherer(LIFTRUDDER_PROGRAM, folder.path(), Config(discovery));
+  INFO(gatherer.Log());
+  REQUIRE(!gatherer.addr().empty());
+  discovery.Tell(rest);
+  WaitLog(gatherer, fmt::format("{} entries", rest.size()));
+
+  for (int round = 0; round < 3; ++round) {
+    net::HttpMessage answer = AskAll(gatherer.addr(), fmt::format("wide-{}", round));
+    REQUIRE(answer.status == 200);
+    CHECK(answer.body.starts_with("{\"full\":true"));
+    CHECK(Count(answer.body, "\"tablet\":") == kHolders);
+  }
+  // Half of the list is told to leave in one change: once it is heard, none of those gets a first byte.
+  std::vector<standin::Discovery::Entry> leaving;
+  std::vector<int> before;
+  for (int i = 0; i < kHolders; i += 2) leaving.push_back({Name(i), field.addr(i), i, "draining"});
+  discovery.Tell(leaving);
+  WaitLog(gatherer, fmt::format("{} entries", leaving.size()));
+  for (int i = 0; i < kHolders; i += 2) before.push_back(field.parts(i));
+  for (int round = 0; round < 3; ++round) {
+    net::HttpMessage answer = AskAll(gatherer.addr(), fmt::format("left-{}", round));
+    REQUIRE(answer.status == 200);
+    CHECK(answer.body.starts_with("{\"full\":true"));
+    CHECK(Descriptors(gatherer.pid()) <= kSockets);
+  }
+  int late = 0;
+  for (int i = 0; i < kHolders; i += 2) late += field.parts(i) - before[static_cast<std::size_t>(i / 2)];
+  CHECK(late == 0);
+
+  // What can be asked of the record covers them all.
+  net::HttpMessage why = standin::Get(gatherer.addr(), "/-/why?id=left-0");
+  CHECK(why.status == 200);
+  long held_kb = Status(gatherer.pid(), "VmHWM"), threads = Status(gatherer.pid(), "Threads");
+  std::printf(
+      "1,024 holders: %ld KB at most, %ld descriptors, %ld threads, %d connections taken for 6 x 1,024 "
+      "parts\n",
+      held_kb, Descriptors(gatherer.pid()), threads, field.taken());
+  if (!LIFTRUDDER_SANITIZED) CHECK(held_kb <= kMemoryMb * 1024);
+  CHECK(threads <= 12);
+  CHECK(Descriptors(gatherer.pid()) <= kSockets);
+  // Fewer places than holders: most connections live on all the same.
+  CHECK(field.taken() < 6 * kHolders);
+  std::string log = gatherer.Log();
+  CHECK(log.find("no connection after") == std::string::npos);
+  CHECK(log.find(" error ") == std::string::npos);
+  CHECK(gatherer.Stop() >= 0);
+}
--- a/tools/standin/discovery.h
+++ b/tools/standin/discovery.h
@@ -2,10 +2,12 @@
 #ifndef LIFTRUDDER_TOOLS_STANDIN_DISCOVERY_H_
 #define LIFTRUDDER_TOOLS_STANDIN_DISCOVERY_H_
 
+#include <atomic>
 #include <list>
 #include <map>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "net/socket.h"
 
@@ -16,6 +18,16 @@
   Discovery();
   ~Discovery();
 
+  // From now on lists come indented, cut into chunks in the middle of anything.
+  void Indent() { indented_ = true; }
+  // Several holders at once, in one change.
+  struct Entry {
+    std::string id, addr;
+    int cell = 0;
+    std::string state = "ready";
+  };
+  void Tell(const std::vector<Entry>& entries);
+
   const std::string& addr() const { return addr_; }
   // state: ready, draining or gone. Watchers are told at once.
   void Tell(const std::string& id, const std::string& holder_addr, int cell, const std::string& state);
@@ -25,11 +37,13 @@
  private:
   void Loop();
   std::string Lines(const std::string& servers, bool full) const;
+  std::string Chunks(const std::string& list) const;
 
   net::Fd listener_;
   std::string addr_;
   mutable std::mutex mutex_;
   bool stopping_ = false;
+  std::atomic<bool> indented_{false};
   int version_ = 1;
   std::map<std::string, std::string> holders_;  // id to its JSON
   std::list<net::Fd> watchers_;
--- /dev/null
+++ b/tools/standin/field.h
@@ -0,0 +1,61 @@
+// Many stand-in record holders on one thread, for lists of a thousand: each serves every part after the same
+// time, and what came is counted by holder. For tests and measurements.
+#ifndef LIFTRUDDER_TOOLS_STANDIN_FIELD_H_
+#define LIFTRUDDER_TOOLS_STANDIN_FIELD_H_
+
+#include <atomic>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "net/socket.h"
+
+namespace liftrudder::standin {
+
+class Field {
+ public:
+  Field(int holders, net::Micros delay_us);
+  ~Field();
+
+  const std::string& addr(int holder) const { return addrs_[static_cast<std::size_t>(holder)]; }
+  int parts(int holder) const;
+  // When the newest part came there, by the steady clock; 0: none has.
+  net::Micros newest_us(int holder) const;
+  // Connections taken in so far, and open now.
+  int taken() const { return taken_; }
+
+ private:
+  struct Line {
+    net::Fd fd;
+    int holder = 0;
+    std::string in;
+  };
+  struct Reply {
+    net::Micros at_us = 0;
+    int fd = -1;
+    std::string frame;
+  };
+  void Loop();
+  bool Read(Line& line);
+
+  const net::Micros delay_us_;
+  net::SteadyClock clock_;
+  std::vector<net::Fd> listeners_;
+  std::vector<std::string> addrs_;
+  std::map<int, Line> lines_;  // by descriptor; the thread's, as are the replies
+  std::deque<Reply> replies_;
+  mutable std::mutex mutex_;
+  std::vector<int> parts_;
+  std::vector<net::Micros> newest_us_;
+  std::atomic<int> taken_{0};
+  std::atomic<bool> stopping_{false};
+  net::Fd epoll_;
+  net::Thread thread_;
+};
+
+}  // namespace liftrudder::standin
+
+#endif  // LIFTRUDDER_TOOLS_STANDIN_FIELD_H_
--- a/tools/standin/gatherer.h
+++ b/tools/standin/gatherer.h
@@ -26,6 +26,7 @@
   Gatherer(const Gatherer&) = delete;
 
   const std::string& addr() const { return addr_; }
+  pid_t pid() const { return child_; }
   std::string Log() const;
   void Signal(int signal) const;
   void Kill();
