--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1003,8 +1003,7 @@
     for (const Event& event : events) {
       const auto* query = std::get_if<QueryArrived>(&event);
       if (valid) std::visit(*this, event);
-      EndWhy why{EndCause::kBadSettings, 0, 0, {}};
-      if (!valid && query != nullptr) actions.push_back(Fail{query->id, why});
+      if (!valid && query) actions.push_back(Fail{query->id, Because(EndCause::kBadSettings, 0, 0)});
     }
     if (!valid) return;
     UpdateView();
