Daily running: a second address, figures, a drain by call, a passed listening socket

Ruled out: SO_REUSEPORT for the second process (what waits in the first one's queue is reset when it leaves).

Change: src/net/calls (one thread, 12 callers, the oldest makes room), src/app/manage, src/metrics/figures, Server::SetAside and LeaveListener, net::Inherit, Aggregator::Avoided. Found by the new test: an address that cannot be had hung the program for ever instead of ending it, as the core's thread was waited for and never told to end (main.cpp, Serve).

Tests: tests/daily_test.cpp on the started program: calls good and bad, 100 mute callers, figures equal to what clients were given and holders saw, drain and its end under load, a process replaced under load with no connection lost.

--- a/include/tinsail/tinsail.h
+++ b/include/tinsail/tinsail.h
@@ -300,6 +300,8 @@
   // gets a line for each part that is not sent, or not sent again, whenever the reason changes.
   void Handle(Micros now, std::span<const Event> events, std::vector<Action>& actions,
               std::vector<PartHeld>* held = nullptr);
+  // Replicas listed that got nothing new of their own accord in the last round: they drain, look sick or are far.
+  int Avoided() const;
 
  private:
   struct State;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 
 #include "codec.h"
+#include "net/calls.h"
 #include "net/json.h"
 
 namespace liftrudder::config {
@@ -162,6 +163,13 @@
   return budget;
 }
 
+void PlaceMgmt(Config& config, const std::string& address) {
+  if (address.empty() || !config.mgmt.empty()) return;
+  config.mgmt = address;
+  config.sockets -= net::CallServer::kDescriptors;
+  config.budget = ShareOut(config.sockets, config.memory_mb, config.budget.holders);
+}
+
 Config Parse(std::string_view text) {
   if (!json::Valid(text)) throw std::runtime_error("configuration: not JSON");
   Config out;
@@ -196,6 +204,7 @@
   out.sockets = static_cast<int>(IntegerOr(limits, "sockets", out.sockets));
   out.memory_mb = memory_mb - static_cast<int>((out.why.bytes + kMiB - 1) / kMiB);
   out.budget = ShareOut(out.sockets, out.memory_mb, holders);
+  PlaceMgmt(out, Text(text, "mgmt"));
   return out;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -27,6 +27,7 @@
 
 struct Config {
   std::string name, listen, discovery;
+  std::string mgmt;  // where operators' tools call; empty: nowhere
   std::uint64_t seed = 0;
   tinsail::Settings settings;
   std::vector<std::string> classes, zones, kinds, load_names;
@@ -42,6 +43,8 @@
 
 // Throws std::runtime_error saying what is wrong.
 Config Parse(std::string_view text);
+// There is a second address, and it takes its part of the descriptors; nothing where one is told already.
+void PlaceMgmt(Config& config, const std::string& address);
 std::string ReadFile(const std::string& path);
 
 // A list in discovery's form; throws std::runtime_error when it is not one.
--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -36,6 +36,7 @@
   for (std::size_t i = 0; i < request.parts.size(); ++i) {
     OpenPart part;
     part.query = id;
+    part.class_index = request.class_index;
     part.request = request.parts[i];
     part.payload = request.payload;
     parts_[id + 1 + static_cast<Id>(i)] = std::move(part);
--- a/src/core/book.h
+++ b/src/core/book.h
@@ -21,6 +21,7 @@
 
 struct OpenPart {
   Id query = 0;
+  int class_index = 0;
   PartRequest request;
   std::shared_ptr<const Payload> payload;
   std::vector<OpenAttempt> attempts;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -99,6 +99,7 @@
       held_.clear();
       aggregator_.Handle(now_, events_, actions, recorder_ != nullptr ? &held_ : nullptr);
       counters_.rounds.Add();
+      avoided_ = aggregator_.Avoided();
       RecordHeld();
       for (const tinsail::Action& action : actions)
         std::visit([this](const auto& what) { Act(what); }, action);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -56,6 +56,8 @@
   void Run();   // on the core's own thread, until Stop
   void Stop();  // from any thread
   int Open() const { return open_queries_.load(); }
+  // Holders listed that the module avoided in the last round.
+  int Avoided() const { return avoided_.load(); }
 
  private:
   // Waits for input or a timer, but never less than a resolution after the last round.
@@ -111,6 +113,7 @@
   std::condition_variable freshened_;
   std::atomic<int> open_{0};  // queries and parts, as the settings count them
   std::atomic<int> open_queries_{0};
+  std::atomic<int> avoided_{0};
   std::atomic<Id> next_id_{1};
 
   // The core's thread alone:
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -74,6 +74,7 @@
   AttemptKey key;
   ReplicaId holder;
   int shard = 0;
+  int class_index = 0;
   Micros wait_until_us = 0;
   std::shared_ptr<const Payload> payload;
 };
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -10,6 +10,7 @@
   AttemptOrder order;
   order.holder = send.replica;
   order.shard = part->request.shard;
+  order.class_index = part->class_index;
   order.wait_until_us = attempt.wait_until_us;
   order.payload = part->payload;
   order.key = {send.part, book_.Begin(send.part, *part, attempt)};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 
 #include "app/identity_command.h"
 #include "app/identity_files.h"
+#include "app/manage.h"
 #include "app/tls_files.h"
 #include "app/why_command.h"
 #include "config/config.h"
@@ -18,6 +19,8 @@
 #include "dns/update.h"
 #include "limits/list_waits.h"
 #include "log/log.h"
+#include "metrics/figures.h"
+#include "net/calls.h"
 #include "net/holder_links.h"
 #include "net/server.h"
 #include "opensearch/front.h"
@@ -95,8 +98,9 @@
 // `options` is null on the platform; elsewhere clients and holders are spoken to in the search API.
 void Serve(const std::string& path, const lr::config::Config& config, const lr::opensearch::Options* options,
            const lr::dns::ZoneOptions& zone, lr::app::IdentityFiles* identity, bool may_tls,
-           const sigset_t& signals) {
+           const std::string& passed, const sigset_t& signals) {
   lr::metrics::Counters counters;
+  lr::metrics::Figures figures(config.classes);
   lr::net::SteadyClock clock;
   std::unique_ptr<lr::app::TlsFiles> tls;
   if (may_tls) tls = lr::app::TlsFiles::Open(path, lr::config::ReadFile(path), clock);
@@ -113,7 +117,7 @@
                              options == nullptr ? config.streams_per_connection : 1,
                              config.budget.holder_connections, config.budget.holders};
   auto links = std::make_unique<lr::net::HolderLinks>(
-      dialect, directory, clock, limits, counters,
+      dialect, directory, clock, limits, counters, figures,
       [&core](lr::core::AttemptResult result) { core.Post(std::move(result)); });
   core.Attach(*links);
   std::optional<lr::why::Recorder> recorder;
@@ -145,7 +149,24 @@
   };
   core.OnList(share);
   lr::net::Thread core_thread([&core] { core.Run(); });
+  // What cannot be had at the start ends the program with its reason: its thread must not be waited for for
+  // ever.
+  struct Stopper {
+    lr::core::Core& core;
+    ~Stopper() { core.Stop(); }
+  } stopper{core};
   {
+    lr::app::Manage manage(figures, [&] {
+      figures.cluster_size.Set(directory.Listed());
+      figures.cluster_unhealthy.Set(core.Avoided());
+    });
+    std::optional<lr::net::CallServer> calls;
+    if (!config.mgmt.empty()) {
+      lr::net::Fd desk = NeedListener(config.mgmt);
+      lr::log::Info("calls of operators are answered at {}", lr::net::LocalAddress(desk));
+      calls.emplace(std::move(desk),
+                    [&manage](const lr::net::HttpMessage& call) { return manage.Answer(call); });
+    }
     std::optional<lr::platform::DiscoveryWatch> watch;
     std::optional<lr::dns::ZoneSource> holders;
     if (!zone.file.empty()) {
@@ -159,12 +180,12 @@
     }
     std::unique_ptr<lr::net::Handler> front;
     if (options == nullptr) {
-      front = std::make_unique<lr::platform::Front>(config, core, clock, counters, asked);
+      front = std::make_unique<lr::platform::Front>(config, core, clock, counters, figures, asked);
     } else {
       front = std::make_unique<lr::opensearch::Front>(config, *options, core, clock, counters, asked,
                                                       identity == nullptr ? nullptr : &identity->callers());
     }
-    lr::net::Fd listener = NeedListener(config.listen);
+    lr::net::Fd listener = passed.empty() ? NeedListener(config.listen) : lr::net::Inherit(passed);
     lr::log::Info("room for {} connections of clients, {} with requests, and {} to holders; {} of a core",
                   config.budget.client_connections, config.budget.client_requests,
                   config.budget.holder_connections, config.cores);
@@ -180,6 +201,7 @@
       std::lock_guard lock(shares);
       clients = &server;
     }
+    manage.Attach(&server);
     share();
     std::function<void()> look;
     if (identity != nullptr || tls != nullptr) {
@@ -198,7 +220,10 @@
       std::lock_guard lock(shares);
       clients = nullptr;
     }
+    manage.Attach(nullptr);
     server.Drain();
+    // Another process holds the passed listener too: it takes in who comes now.
+    if (!passed.empty()) server.LeaveListener();
     lr::log::Info("told to end; {} queries are open", core.Open());
     Pause(kStillListening);
     server.StopListening();
@@ -234,12 +259,18 @@
     lr::config::Config config = lr::config::Parse(text);
     lr::opensearch::Options options = lr::opensearch::ParseOptions(text, config);
     auto identity = lr::app::IdentityFiles::Open(search_file, text);
-    Serve(search_file, config, &options, lr::dns::ParseZoneOptions(text), identity.get(), true, signals);
+    Serve(search_file, config, &options, lr::dns::ParseZoneOptions(text), identity.get(), true, "", signals);
     return 0;
   }
   const char* path = std::getenv("BALANCER_CONFIG");
   if (path == nullptr) throw std::runtime_error("BALANCER_CONFIG names no configuration");
-  Serve(path, lr::config::Parse(lr::config::ReadFile(path)), nullptr, {}, nullptr, false, signals);
+  auto variable = [](const char* name) {
+    const char* value = std::getenv(name);
+    return std::string(value == nullptr ? "" : value);
+  };
+  lr::config::Config config = lr::config::Parse(lr::config::ReadFile(path));
+  lr::config::PlaceMgmt(config, variable("BALANCER_MGMT"));
+  Serve(path, config, nullptr, {}, nullptr, false, variable("BALANCER_PASSED_SOCKET"), signals);
   return 0;
 } catch (const std::exception& error) {
   lr::log::Error("{}", error.what());
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -11,6 +11,7 @@
 
 class Counter {
  public:
+  void Set(std::int64_t n) { value_.store(n, std::memory_order_relaxed); }
   void Add(std::int64_t n = 1) { value_.fetch_add(n, std::memory_order_relaxed); }
   std::int64_t Value() const { return value_.load(std::memory_order_relaxed); }
 
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -30,13 +30,14 @@
 
 HolderLinks::HolderLinks(const Dialect& dialect, const core::HolderDirectory& directory,
                          const core::Clock& clock, const LinkLimits& limits, metrics::Counters& counters,
-                         ResultSink sink)
+                         metrics::Figures& figures, ResultSink sink)
     : dialect_(dialect),
       directory_(directory),
       clock_(clock),
       limits_(limits),
       idle_limit_us_(static_cast<Micros>(kIdleShare * static_cast<double>(limits.idle_close_us))),
       counters_(counters),
+      figures_(figures),
       sink_(std::move(sink)),
       epoll_(::epoll_create1(EPOLL_CLOEXEC)),
       waker_(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
@@ -439,7 +440,10 @@
     connection.frame.clear();
     if (!connection.writing) continue;
     auto found = live_.find(*connection.writing);
-    if (found != live_.end()) found->second.progress = core::Progress::kWhollyWritten;
+    if (found != live_.end()) {
+      found->second.progress = core::Progress::kWhollyWritten;
+      if (auto* group = figures_.Of(found->second.order.class_index)) group->sends.Add();
+    }
     connection.writing.reset();
   }
   if (connection.armed) Arm(number, connection, false);
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "core/ports.h"
+#include "metrics/figures.h"
 #include "metrics/metrics.h"
 #include "net/socket.h"
 
@@ -67,7 +68,8 @@
 class HolderLinks : public core::HolderTransport {
  public:
   HolderLinks(const Dialect& dialect, const core::HolderDirectory& directory, const core::Clock& clock,
-              const LinkLimits& limits, metrics::Counters& counters, ResultSink sink);
+              const LinkLimits& limits, metrics::Counters& counters, metrics::Figures& figures,
+              ResultSink sink);
   ~HolderLinks();
 
   void Start(core::AttemptOrder order) override;
@@ -153,6 +155,7 @@
   LinkLimits limits_;
   const Micros idle_limit_us_;
   metrics::Counters& counters_;
+  metrics::Figures& figures_;
   const ResultSink sink_;
   std::mutex mutex_;
   bool stopping_ = false;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -26,6 +26,7 @@
 constexpr Micros kYoung = 50'000;  // a new connection may be silent for so long and count as any other
 constexpr std::chrono::seconds kWorkerWait(2);
 constexpr int kShakingShare = 4;           // of the connections: so many may be in a handshake
+constexpr Micros kFrontHears = 400'000;    // a front asks every 0.1 s, and sends new connections 0.2 s more
 constexpr int kLingering = 20;             // connections ended by us that are read to their end
 constexpr int kAtOnce = 64;                // connections taken, and events, in one turn
 constexpr std::size_t kMostRead = 131072;  // bytes of one client in one turn
@@ -59,6 +60,19 @@
   most_requests_ = limits.requests;
 }
 
+bool Server::SetAside(bool aside) {
+  Micros was = aside_us_.exchange(0);
+  if (aside) aside_us_ = was != 0 ? was : std::max<Micros>(1, clock_.Now());
+  return aside != (was != 0);
+}
+
+// Whether connections are to end behind their next answer. Not at once: who is sent off too soon is dealt out
+// here again by a front that has not asked yet.
+bool Server::Leaving() const {
+  Micros since = aside_us_;
+  return left_listener_ || (since != 0 && clock_.Now() - since >= kFrontHears);
+}
+
 void Server::StopListening() {
   {
     std::lock_guard lock(mutex_);
@@ -76,6 +90,7 @@
 }
 
 void Server::WatchDoor() {
+  bool listening = true;
   while (!stopping_) {
     epoll_event events[kAtOnce];
     int got = ::epoll_wait(epoll_.Get(), events, kAtOnce, kSliceMs);
@@ -89,7 +104,11 @@
       }
     }
     if (tls_ != nullptr) LimitShaking();
-    if (knock) TakeIn();
+    if (left_listener_ && listening) {
+      ::epoll_ctl(epoll_.Get(), EPOLL_CTL_DEL, listener_.Get(), nullptr);
+      listening = false;
+    }
+    if (knock && listening) TakeIn();
     EndOverdue(clock_.Now());
   }
   // What has come by now is still answered; the others have no request open.
@@ -145,7 +164,7 @@
 
 void Server::TurnAway(ClientLine client) {
   counters_.turned_away.Add();
-  client.Write(Format(handler_.Overloaded(), true), 0);
+  client.Write(Format(handler_.Overloaded(nullptr), true), 0);
   lingerer_.Take(client.Finish());
 }
 
@@ -221,6 +240,7 @@
   if (now - looked_us_ < kLook) return;
   looked_us_ = now;
   std::vector<Place> overdue, idle;
+  bool leaving = aside_us_ != 0 && Leaving();
   {
     std::lock_guard lock(mutex_);
     int served = 0;
@@ -229,6 +249,9 @@
       if (one->phase == Phase::kBusy) continue;
       if (now >= one->until_us) {
         overdue.push_back(one);
+      } else if (leaving && one->received_us == 0 && now - one->since_us > kShortIdle &&
+                 Peek(one->line.fd()) == Sight::kNothing) {
+        overdue.push_back(one);
       } else if (one->phase == Phase::kIdle && one->received_us == 0 && now - one->since_us > kShortIdle) {
         idle.push_back(one);
       }
@@ -295,7 +318,7 @@
   }
   lock.unlock();
   counters_.turned_away.Add();
-  if (place->line.Write(Format(handler_.Overloaded(), false), 0).status != Io::kOk) {
+  if (place->line.Write(Format(handler_.Overloaded(&place->parser.message()), false), 0).status != Io::kOk) {
     Remove(place);
   } else {
     Restart(place);
@@ -340,12 +363,12 @@
 }
 
 void Server::Answer(Place place, std::vector<Served>& served) try {
-  Exchange exchange{&place->line, place->received_us, draining_, &served};
+  Exchange exchange{&place->line, place->received_us, !Ready(), &served};
   auto response = handler_.Handle(place->parser.message(), exchange);
   if (!response) return static_cast<void>(Remove(place));
   // Told to end, we still serve those who are connected until new ones are turned away: sent off at once,
   // they would find nobody where another gatherer is just being replaced as well.
-  bool close = response->close || place->parser.message().close || stopping_;
+  bool close = response->close || place->parser.message().close || stopping_ || Leaving();
   std::string text = Format(*response, close);
   Written written = place->line.Write(text, kWriteWait);
   handler_.Wrote(served, response->status, written.bytes, written.status == Io::kOk);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -40,7 +40,8 @@
   virtual std::optional<HttpResponse> Handle(HttpMessage& request, const Exchange& exchange) = 0;
   // What a request gets that cannot be read, 400, or did not come in time, 408.
   virtual HttpResponse Malformed(int status) = 0;
-  virtual HttpResponse Overloaded() = 0;
+  // `request`: null where nothing has been read yet.
+  virtual HttpResponse Overloaded(const HttpMessage* request) = 0;
   // A response has been written, to its end or not; on the thread that wrote it.
   virtual void Wrote(const std::vector<Served>& served, int status, std::size_t bytes, bool whole) = 0;
 };
@@ -61,6 +62,13 @@
   // From then on it says that it is not ready, and serves on until StopListening: then connections end when
   // nothing is open on them.
   void Drain() { draining_ = true; }
+  // Out of service for a while, and back: not ready, and from soon after the connections end one by one, each
+  // behind its answer or while nothing is on it. Whoever comes all the same is served. False: it was so
+  // already.
+  bool SetAside(bool aside);
+  bool Ready() const { return !draining_ && aside_us_ == 0; }
+  // Takes nobody in any more; those who are there are served on, and told that their connection ends.
+  void LeaveListener() { left_listener_ = true; }
   void StopListening();
   // Whether all connections have ended within that time.
   bool WaitClosed(Micros wait_us);
@@ -91,6 +99,7 @@
   void Refuse(Place place, const HttpResponse& response);
   ClientLine Remove(Place place);
   void TurnAway(ClientLine client);
+  bool Leaving() const;
   void LimitShaking();
 
   // A worker's thread: one request at a time, until there have been none for a while.
@@ -106,7 +115,8 @@
   const TlsSource* tls_;  // null: none
   Lingerer lingerer_;
   Fd epoll_;
-  std::atomic<bool> draining_{false};
+  std::atomic<bool> draining_{false}, left_listener_{false};
+  std::atomic<Micros> aside_us_{0};  // since when; 0: in service
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::condition_variable left_, work_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -13,8 +14,10 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 
 namespace liftrudder::net {
 namespace {
@@ -117,9 +120,7 @@
   return getsockopt(fd.Get(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 ? errno : error;
 }
 
-bool OutOfDescriptors() {
-  return errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
-}
+bool OutOfDescriptors() { return errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM; }
 
 Fd Connect(const std::string& address, Micros wait_us) {
   Micros until = Until(wait_us);
@@ -133,7 +134,7 @@
 Fd Listen(const std::string& address) {
   auto at = Parse(address);
   if (!at) return Fd();
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   int on = 1;
   setsockopt(fd.Get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (::bind(fd.Get(), reinterpret_cast<sockaddr*>(&*at), sizeof *at) != 0 ||
@@ -142,6 +143,24 @@
   return fd;
 }
 
+Fd Inherit(const std::string& text) {
+  int number = -1;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size() || number < 0)
+    throw std::runtime_error(fmt::format("passed socket: '{}' is no descriptor's number", text));
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (::getsockopt(number, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0)
+    throw std::runtime_error(fmt::format("passed socket: descriptor {}: {}", number, std::strerror(errno)));
+  if (listens == 0)
+    throw std::runtime_error(fmt::format("passed socket: descriptor {} does not listen", number));
+  Fd fd(number);
+  // Another process may hold it too and take the connection that both were woken for.
+  ::fcntl(number, F_SETFL, ::fcntl(number, F_GETFL) | O_NONBLOCK);
+  ::fcntl(number, F_SETFD, FD_CLOEXEC);
+  return fd;
+}
+
 std::string LocalAddress(const Fd& fd) {
   sockaddr_in at{};
   socklen_t size = sizeof at;
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -68,7 +68,7 @@
   core_.NoteDoor(why::Door::kUnreadable, why::FrontKind::kSearch, why::kNoClass, status, "");
   return ErrorResponse({status, "parsing_exception", "the request cannot be read", 0});
 }
-net::HttpResponse Front::Overloaded() {
+net::HttpResponse Front::Overloaded(const net::HttpMessage*) {
   core_.NoteDoor(why::Door::kTooManyConnections, why::FrontKind::kSearch, why::kNoClass, 503, "");
   ApiError error = Unanswered("too many connections");
   error.retry_after_us = kBusyRetryUs;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -94,7 +94,9 @@
   return Problem(status, "the request cannot be read");
 }
 
-net::HttpResponse Front::Overloaded() {
+net::HttpResponse Front::Overloaded(const net::HttpMessage* request) {
+  const std::string* name = request == nullptr ? nullptr : request->Header("X-Call-Class");
+  if (name != nullptr) metrics::Figures::Ended(figures_.Of(*name), 503);
   core_.NoteDoor(why::Door::kTooManyConnections, why::FrontKind::kPlatform, why::kNoClass, 503, "");
   return Refusal(503, kBusyRetryUs, "too many connections");
 }
@@ -191,7 +193,12 @@
       return Rejected(request, why::Door::kDuplicateId, Problem(409, "a query with this id is open"));
     }
   }
+  metrics::Figures::ByClass* group = figures_.Of(query->class_index);
+  figures_.current.Add();
   auto response = Ask(std::move(*query), exchange);
+  figures_.current.Add(-1);
+  // Nobody was given the end of one whose client has gone, or has broken off its own request.
+  if (response && !response->close) metrics::Figures::Ended(group, response->status);
   std::lock_guard lock(mutex_);
   open_.erase(id);
   return response;
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -8,6 +8,7 @@
 
 #include "config/config.h"
 #include "core/core.h"
+#include "metrics/figures.h"
 #include "net/server.h"
 #include "why/desk.h"
 
@@ -16,12 +17,12 @@
 class Front : public net::Handler {
  public:
   Front(const config::Config& config, core::Core& core, const core::Clock& clock, metrics::Counters& counters,
-        why::Desk* desk)
-      : config_(config), core_(core), clock_(clock), counters_(counters), desk_(desk) {}
+        metrics::Figures& figures, why::Desk* desk)
+      : config_(config), core_(core), clock_(clock), counters_(counters), figures_(figures), desk_(desk) {}
 
   std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override;
   net::HttpResponse Malformed(int status) override;
-  net::HttpResponse Overloaded() override;
+  net::HttpResponse Overloaded(const net::HttpMessage* request) override;
   void Wrote(const std::vector<net::Served>& served, int status, std::size_t bytes, bool whole) override;
 
  private:
@@ -35,6 +36,7 @@
   core::Core& core_;
   const core::Clock& clock_;
   metrics::Counters& counters_;
+  metrics::Figures& figures_;
   why::Desk* desk_;  // null: nothing is recorded
   std::mutex mutex_;
   std::set<std::string> open_;  // call ids of the queries that are open
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -232,11 +232,12 @@
     median_us = Quantile(0.5);
     slow_us = Quantile(0.9);
     copy_us = Quantile(kCopyQuantile);
-    warm_weight = usable = 0;
+    warm_weight = usable = avoided = 0;
     JudgeZones(dt);
     for (auto& [id, server] : servers) {
       JudgeSilence(server);
       usable += server.usable ? 1 : 0;
+      if (!server.usable || Avoided(server)) avoided += server.told.availability != Availability::kGone;
       if (server.usable && !server.sick && Warmth(server) >= 1) warm_weight += server.told.weight;
     }
     UpdatePressure(dt);
@@ -1046,7 +1047,7 @@
   std::vector<double> class_parts, tenant_tokens;
   std::deque<Micros> taken, further, copies;
   std::vector<Zone> zones;
-  double usable = 0;        // replicas
+  double usable = 0, avoided = 0;  // replicas; those listed that drain, look sick or are far
   double reap_us = 1e12;    // connections unused for this long are closed before use; may grow without bound
   double proven_us = 0;     // the longest time that one was unused and lived, of late
   double losses = 0;        // replicas lost unannounced of late
@@ -1063,6 +1064,7 @@
 Aggregator::Aggregator(Aggregator&&) noexcept = default;
 Aggregator& Aggregator::operator=(Aggregator&&) noexcept = default;
 
+int Aggregator::Avoided() const { return static_cast<int>(state_->avoided); }
 void Aggregator::Handle(Micros now, std::span<const Event> events, std::vector<Action>& actions,
                         std::vector<PartHeld>* held) {
   state_->Handle(now, events, actions, held);
--- /dev/null
+++ b/tests/daily_test.cpp
@@ -0,0 +1,280 @@
+// Daily running on the started program: the second address, figures held against what stand-in holders and
+// clients saw, a drain and its end, and a process replaced under load with every request accounted for.
+#define CATCH_CONFIG_MAIN
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <thread>
+
+#include "standin/discovery.h"
+#include "standin/field.h"
+#include "standin/folder.h"
+#include "standin/gatherer.h"
+
+using namespace liftrudder;
+
+namespace {
+
+constexpr int kHolders = 3;
+
+std::string Config(const standin::Discovery& discovery, const std::string& mgmt) {
+  return fmt::format(
+      R"({{"name":"n1","seed":"8c1f30d27a5be964","listen":"127.0.0.1:0","mgmt":"{}","discovery":"{}","limits":{{"cores":1,"sockets":256,"memory_mb":64}},
+"known":{},"settings":{{"az":0,"groupSize":1,"ordinal":0,"resolutionUs":1000,"dcs":[],"kinds":["k"],
+"registryMode":"automatic","loadInfo":{{"how":"inline","names":["queue","inflight"]}},
+"grades":[{{"name":"search","aimUs":5000000,"giveUpUs":9000000,"lateShare":0.3,"value":5.0,"effect":"idempotent","repeatWindowUs":5000000,"dedupScope":"all"}},
+{{"name":"report","aimUs":5000000,"giveUpUs":9000000,"lateShare":0.3,"value":5.0,"effect":"idempotent","repeatWindowUs":5000000,"dedupScope":"all"}}],
+"familyInfo":{{"cells":{},"reach":1,"slices":{},"perCall":1,"classFetch":[0,0],"classFloor":[1.0,1.0],"wholeAt":[1.0,1.0],"incompleteWorth":[0.95,0.95]}},
+"bounds":{{"attemptsCap":3,"cancelling":true,"connectTimeoutUs":250000,"idleCloseUs":30000000,"maxOpen":500,"maxRetryAfterUs":500000,"probes":true,"retryAfter":true,"secondCopies":false,"streamsPerConn":100}},
+"rules":{{"graceToAnswerUs":5000,"stopSendingWithinUs":1000000}}}}}})",
+      mgmt, discovery.addr(), discovery.List(), kHolders, kHolders);
+}
+
+struct World {
+  World() : field(kHolders, 2'000) {
+    std::vector<standin::Discovery::Entry> all;
+    for (int i = 0; i < kHolders; ++i) all.push_back({fmt::format("h{}", i), field.addr(i), i});
+    discovery.Tell(all);
+  }
+  int Parts() const {
+    int sum = 0;
+    for (int i = 0; i < kHolders; ++i) sum += field.parts(i);
+    return sum;
+  }
+  standin::Field field;
+  standin::Discovery discovery;
+  standin::Folder folder;
+};
+
+// Calls at a second address.
+struct Desk {
+  explicit Desk(const standin::Gatherer& gatherer) : addr(gatherer.Logged("are answered at ")) {}
+  net::HttpMessage Call(const std::string& method, const std::string& path) const {
+    return standin::Fetch(addr, fmt::format("{} {} HTTP/1.1\r\nHost: g\r\n\r\n", method, path));
+  }
+  std::map<std::string, long> Stats() const {
+    std::map<std::string, long> out;
+    std::istringstream lines(Call("GET", "/stats").body);
+    std::string name;
+    for (long value = 0; lines >> name >> value;) out[name] = value;
+    return out;
+  }
+  std::string addr;
+};
+
+// One client that keeps its connection while it may.
+struct Client {
+  // The status; 0: the connection ended without an answer.
+  int Ask(const std::string& addr, const std::string& id, const std::string& group, int shards) {
+    if (!fd.Valid()) fd = net::Connect(addr, standin::kPatience), ++connections;
+    std::string tablets;
+    for (int i = 0; i < shards; ++i)
+      tablets += fmt::format("{}{{\"tablet\":{},\"fraction\":{:.6f}}}", i > 0 ? "," : "", i, 1.0 / shards);
+    std::string body = fmt::format("{{\"tablets\":[{}],\"statement\":\"s\"}}", tablets), in;
+    net::WriteAll(
+        fd,
+        fmt::format("POST /api HTTP/1.1\r\nHost: g\r\nX-Call-Id: {}\r\nX-Call-Class: {}\r\nX-Budget: 8\r\n"
+                    "Content-Length: {}\r\n\r\n{}",
+                    id, group, body.size(), body),
+        standin::kPatience);
+    net::HttpParser parser(net::HttpParser::Kind::kResponse);
+    auto state = net::HttpParser::State::kHead;
+    while (state != net::HttpParser::State::kDone &&
+           net::ReadSome(fd, in, standin::kPatience) == net::Io::kOk)
+      state = parser.Feed(in);
+    if (state != net::HttpParser::State::kDone || parser.message().close) fd = net::Fd();
+    return state == net::HttpParser::State::kDone ? parser.message().status : 0;
+  }
+  net::Fd fd;
+  int connections = 0;
+};
+
+template <typename Condition>
+void Until(Condition&& holds, const char* what) {
+  net::SteadyClock clock;
+  for (net::Micros until = clock.Now() + standin::kPatience; clock.Now() < until;) {
+    if (holds()) return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  FAIL("never: " << what);
+}
+
+bool Ended(const net::Fd& fd) {
+  std::string in;
+  return net::ReadSome(fd, in, 0) == net::Io::kEnd;
+}
+
+}  // namespace
+
+TEST_CASE("the second address: what may be called, and what is wrong about a call") {
+  World world;
+  standin::Gatherer gatherer(LIFTRUDDER_PROGRAM, world.folder.path(), Config(world.discovery, "127.0.0.1:0"));
+  INFO(gatherer.Log());
+  REQUIRE(!gatherer.addr().empty());
+  Desk desk(gatherer);
+  Until([&] { return desk.Call("GET", "/healthcheck").status == 200; }, "ready");
+  CHECK(desk.Call("GET", "/stats").status == 200);
+  CHECK(desk.Call("GET", "/nothing").status == 404);
+  CHECK(desk.Call("GET", "/").status == 404);
+  for (auto [method, path] : {std::pair("PUT", "/healthcheck"),
+                              {"POST", "/stats"},
+                              {"GET", "/healthcheck/fail"},
+                              {"DELETE", "/healthcheck/ok"}}) {
+    net::HttpMessage answer = desk.Call(method, path);
+    CHECK(answer.status == 405);
+    CHECK(answer.Header("Allow") != nullptr);
+  }
+  CHECK(standin::Fetch(desk.addr, "GET /stats\r\n\r\n").status == 400);
+  CHECK(standin::Fetch(desk.addr, "GET /stats HTTP/1.1\r\nA: " + std::string(20'000, 'a') + "\r\n\r\n")
+            .status == 400);
+  CHECK(standin::Fetch(desk.addr, "PUT /healthcheck/ok HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n").status ==
+        400);
+  // Mute and half-finished callers, far more than are held, keep nobody out.
+  std::vector<net::Fd> mute;
+  for (int i = 0; i < 100; ++i) {
+    mute.push_back(net::Connect(desk.addr, standin::kPatience));
+    if (i % 2 == 0) net::WriteAll(mute.back(), "GET /stats HT", standin::kPatience);
+  }
+  CHECK(desk.Call("GET", "/healthcheck").status == 200);
+  CHECK(gatherer.Stop() >= 0);
+}
+
+TEST_CASE("a second address or a passed socket that cannot be had is an error that names it") {
+  World world;
+  net::Fd taken = net::Listen("127.0.0.1:0");
+  std::string addr = net::LocalAddress(taken), path = world.folder.path() + "/config.json";
+  std::ofstream(path) << Config(world.discovery, addr);
+  ::setenv("BALANCER_CONFIG", path.c_str(), 1);
+  auto [code, said] = standin::RunProgram(LIFTRUDDER_PROGRAM, {});
+  CHECK(code == 1);
+  CHECK(said.find("cannot listen on " + addr) != std::string::npos);
+  std::ofstream(path) << Config(world.discovery, "");
+  for (auto [number, why] : {std::pair("77", "descriptor 77: Bad file descriptor"),
+                             {"0", "passed socket: descriptor 0"},
+                             {"3x", "'3x' is no descriptor's number"}}) {
+    ::setenv("BALANCER_PASSED_SOCKET", number, 1);
+    std::tie(code, said) = standin::RunProgram(LIFTRUDDER_PROGRAM, {});
+    INFO(said);
+    CHECK(code == 1);
+    CHECK(said.find(why) != std::string::npos);
+  }
+  ::unsetenv("BALANCER_PASSED_SOCKET");
+  ::unsetenv("BALANCER_CONFIG");
+}
+
+TEST_CASE("the figures are what clients were given and what holders saw") {
+  World world;
+  standin::Gatherer gatherer(LIFTRUDDER_PROGRAM, world.folder.path(), Config(world.discovery, "127.0.0.1:0"));
+  REQUIRE(!gatherer.addr().empty());
+  Desk desk(gatherer);
+  std::map<std::string, std::map<int, long>> given;
+  Client client;
+  for (int i = 0; i < 60; ++i) {
+    std::string group = i % 3 == 0 ? "report" : "search";
+    ++given[group][client.Ask(gatherer.addr(), fmt::format("q{}", i), group, 1 + i % kHolders)];
+  }
+  CHECK(client.Ask(gatherer.addr(), "bad", "nosuch", 1) == 400);
+  auto stats = desk.Stats();
+  CHECK(stats["app_answered_total{group=\"search\"}"] == given["search"][200]);
+  CHECK(stats["app_answered_total{group=\"report\"}"] == given["report"][200]);
+  CHECK(given["search"][200] + given["report"][200] == 60);
+  CHECK(stats["app_sends_total{group=\"search\"}"] + stats["app_sends_total{group=\"report\"}"] ==
+        world.Parts());
+  CHECK(stats["app_errored_total{group=\"search\"}"] == 0);
+  CHECK(stats["app_current"] == 0);
+  CHECK(stats["app_cluster_size"] == kHolders);
+  CHECK(stats["app_cluster_unhealthy"] == 0);
+  // One leaves: listed and avoided, then not listed; a query for its shard is refused or fails at once.
+  world.discovery.Tell("h2", world.field.addr(2), 2, "draining");
+  Until([&] { return desk.Stats()["app_cluster_unhealthy"] == 1; }, "one avoided");
+  CHECK(desk.Stats()["app_cluster_size"] == kHolders);
+  world.discovery.Tell("h2", world.field.addr(2), 2, "gone");
+  Until([&] { return desk.Stats()["app_cluster_size"] == kHolders - 1; }, "one less");
+  CHECK(desk.Stats()["app_cluster_unhealthy"] == 0);
+  int status = client.Ask(gatherer.addr(), "none", "report", kHolders);
+  CHECK(status != 200);
+  stats = desk.Stats();
+  CHECK(stats["app_deferred_total{group=\"report\"}"] + stats["app_errored_total{group=\"report\"}"] == 1);
+  CHECK(gatherer.Stop() >= 0);
+}
+
+TEST_CASE("a drain ends kept connections behind their answers and when idle, and its end is an end") {
+  World world;
+  standin::Gatherer gatherer(LIFTRUDDER_PROGRAM, world.folder.path(), Config(world.discovery, "127.0.0.1:0"));
+  REQUIRE(!gatherer.addr().empty());
+  Desk desk(gatherer);
+  Client busy, idle;
+  CHECK(busy.Ask(gatherer.addr(), "b0", "search", 1) == 200);
+  CHECK(idle.Ask(gatherer.addr(), "i0", "search", 1) == 200);
+  CHECK(desk.Call("PUT", "/healthcheck/fail").status == 200);
+  CHECK(desk.Call("PUT", "/healthcheck/fail").status == 200);  // twice is once
+  CHECK(desk.Call("GET", "/healthcheck").status == 503);
+  CHECK(standin::Get(gatherer.addr(), "/-/ready").status == 503);
+  gatherer.Signal(SIGHUP);
+  int asked = 0;
+  // Kept busy: every request is answered, and at last the connection is ended behind an answer.
+  Until(
+      [&] {
+        return busy.Ask(gatherer.addr(), fmt::format("b{}", ++asked), "search", 1) == 200 && !busy.fd.Valid();
+      },
+      "the busy connection ends");
+  Until([&] { return Ended(idle.fd); }, "the idle connection ends");
+  // Who comes all the same is served, on a connection for that one request.
+  Client late;
+  CHECK(late.Ask(gatherer.addr(), "l0", "search", 1) == 200);
+  CHECK(!late.fd.Valid());
+  CHECK(desk.Call("GET", "/healthcheck").status == 503);
+  CHECK(desk.Call("PUT", "/healthcheck/ok").status == 200);
+  CHECK(desk.Call("GET", "/healthcheck").status == 200);
+  CHECK(standin::Get(gatherer.addr(), "/-/ready").status == 200);
+  CHECK(late.Ask(gatherer.addr(), "l1", "search", 1) == 200);
+  CHECK(late.fd.Valid());
+  late.fd = net::Fd();
+  CHECK(desk.Call("PUT", "/healthcheck/fail").status == 200);
+  CHECK(gatherer.Stop() >= 0);  // SIGTERM while it drains
+}
+
+TEST_CASE("a process is replaced under load with nothing refused, reset or unread") {
+  World world;
+  net::Fd listener = net::Listen("127.0.0.1:0");
+  std::string addr = net::LocalAddress(listener);
+  standin::Folder second;
+  std::string config = Config(world.discovery, "127.0.0.1:0");
+  auto old = std::make_unique<standin::Gatherer>(LIFTRUDDER_PROGRAM, world.folder.path(), config,
+                                                 std::vector<std::string>{}, listener.Get());
+  REQUIRE(old->addr() == addr);
+  Until([&] { return Desk(*old).Call("GET", "/healthcheck").status == 200; }, "ready");
+  std::atomic<bool> over{false};
+  std::atomic<int> answered{0}, refused{0}, lost{0};
+  std::vector<std::thread> clients;
+  for (int c = 0; c < 6; ++c) {
+    clients.emplace_back([&, c] {
+      Client client;
+      for (int i = 0; !over; ++i) {
+        int status = client.Ask(addr, fmt::format("c{}-{}", c, i), "search", 1 + i % kHolders);
+        // 429 is the module's word on its load, given in time; a lost connection has none, and 503 is the
+        // door's.
+        ++(status == 200 ? answered : status == 429 ? refused : lost);
+      }
+    });
+  }
+  Until([&] { return answered > 100; }, "load");
+  standin::Gatherer fresh(LIFTRUDDER_PROGRAM, second.path(), config, {}, listener.Get());
+  Desk desk(fresh);
+  Until([&] { return desk.Call("GET", "/healthcheck").status == 200; }, "the new one is ready");
+  CHECK(old->Stop() >= 0);  // it ends what it has, and leaves by itself
+  int before = answered;
+  Until([&] { return answered > before + 200; }, "load on the new one alone");
+  over = true;
+  for (std::thread& client : clients) client.join();
+  CHECK(lost == 0);
+  CHECK(refused < answered / 20);
+  auto stats = desk.Stats();
+  CHECK(stats["app_answered_total{group=\"search\"}"] >= 200);
+  CHECK(fresh.Stop() >= 0);
+}
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -112,7 +112,7 @@
       list.entries.push_back({"h" + std::to_string(i), net::LocalAddress(listeners.back()), {}});
     }
     news = directory.Apply(list, 1);
-    links.emplace(dialect, directory, clock, limits, counters, [this](core::AttemptResult result) {
+    links.emplace(dialect, directory, clock, limits, counters, figures, [this](core::AttemptResult result) {
       std::lock_guard lock(mutex);
       results.push_back(std::move(result));
       wake.notify_one();
@@ -149,6 +149,7 @@
   std::optional<tinsail::ListNews> news;
   net::SteadyClock clock;
   metrics::Counters counters;
+  metrics::Figures figures{{"search"}};
   const std::vector<std::string> load_names;
   platform::FrameDialect dialect;
   std::mutex mutex;
--- a/tests/rotation_test.cpp
+++ b/tests/rotation_test.cpp
@@ -39,7 +39,7 @@
     return out;
   }
   net::HttpResponse Malformed(int) override { return {}; }
-  net::HttpResponse Overloaded() override { return {}; }
+  net::HttpResponse Overloaded(const net::HttpMessage*) override { return {}; }
   void Wrote(const std::vector<net::Served>&, int, std::size_t, bool) override {}
   bool Saw(const std::string& mark) {
     std::lock_guard lock(mutex_);
--- a/tests/tls_test.cpp
+++ b/tests/tls_test.cpp
@@ -61,7 +61,7 @@
     return out;
   }
   net::HttpResponse Malformed(int status) override { return Of(status); }
-  net::HttpResponse Overloaded() override { return Of(503); }
+  net::HttpResponse Overloaded(const net::HttpMessage*) override { return Of(503); }
   void Wrote(const std::vector<net::Served>&, int, std::size_t, bool) override {}
 
  private:
--- a/tools/standin/gatherer.cpp
+++ b/tools/standin/gatherer.cpp
@@ -28,7 +28,7 @@
 }  // namespace
 
 Gatherer::Gatherer(const std::string& program, const std::string& folder, const std::string& config,
-                   const std::vector<std::string>& arguments)
+                   const std::vector<std::string>& arguments, int passed)
     : log_(folder + "/log") {
   std::string path = folder + "/config.json";
   std::ofstream(path) << config;
@@ -42,18 +42,25 @@
     int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     ::dup2(log, STDERR_FILENO);
     ::setenv("BALANCER_CONFIG", path.c_str(), 1);
+    if (passed >= 0) {
+      ::dup2(passed, 3);
+      ::setenv("BALANCER_PASSED_SOCKET", "3", 1);
+    }
     Become(program, words);
   }
-  const std::string mark = " listens on ";
   for (net::Micros waited = 0; addr_.empty() && waited < kPatience; waited += 10'000) {
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    std::string text = Log();
-    auto at = text.find(mark);
-    if (at != std::string::npos && text.find('\n', at) != std::string::npos)
-      addr_ = text.substr(at + mark.size(), text.find('\n', at) - at - mark.size());
+    addr_ = Logged(" listens on ");
   }
 }
 
+std::string Gatherer::Logged(const std::string& mark) const {
+  std::string text = Log();
+  auto at = text.find(mark);
+  auto end = at == std::string::npos ? at : text.find('\n', at);
+  return end == std::string::npos ? "" : text.substr(at + mark.size(), end - at - mark.size());
+}
+
 std::string Gatherer::Log() const {
   std::ostringstream out;
   out << std::ifstream(log_).rdbuf();
--- a/tools/standin/gatherer.h
+++ b/tools/standin/gatherer.h
@@ -19,13 +19,16 @@
 class Gatherer {
  public:
   // Writes the configuration into the folder and starts the program there; `arguments` with $CONFIG for the
-  // file's path. Ready once addr() is not empty; else Log() says why not.
+  // file's path. `passed`: a listener that it inherits as descriptor 3. Ready once addr() is not empty; else
+  // Log() says why not.
   Gatherer(const std::string& program, const std::string& folder, const std::string& config,
-           const std::vector<std::string>& arguments = {});
+           const std::vector<std::string>& arguments = {}, int passed = -1);
   ~Gatherer() { Kill(); }
   Gatherer(const Gatherer&) = delete;
 
   const std::string& addr() const { return addr_; }
+  // The word after this in the log; empty: it has not said so.
+  std::string Logged(const std::string& mark) const;
   pid_t pid() const { return child_; }
   std::string Log() const;
   void Signal(int signal) const;
