A client that leaves bars first bytes at once; the end answers what has begun, hears SIGHUP

Ruled out: a late event naming a session that is gone (by numbers, looked up under the lock; it was by address, and busy sessions are armed now); a second request inheriting the first one's leaving (a vigil each).

Change: the door's poll goes on watching a busy connection and marks its client as gone at once; every first byte looks at that mark and ends as `left`, never run. The door's thread stays to the end, takes the backlog in, reads begun requests to their end; signals are heard until the last connection has ended.

Not forced apart from the old loop: the last TakeIn (the poll reports the listener once more), the half request (held by its first 0.2 s) - that one now comes on a used connection.

--- a/src/core/book.cpp
+++ b/src/core/book.cpp
@@ -26,6 +26,7 @@
     case Cause::kExpired:
       return begun ? OutcomeCode::kTimeout : OutcomeCode::kMoot;
     case Cause::kStale:
+    case Cause::kLeft:
       return OutcomeCode::kMoot;
   }
   return OutcomeCode::kError;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -8,9 +8,8 @@
 
 namespace {
 
-// What a client or another holder waits for; answers are waited for together.
-bool Urgent(const Input& input) {
-  return std::holds_alternative<Arrival>(input) || std::holds_alternative<tinsail::ListNews>(input);
+// What a client or another holder waits for, or what spares holders work; answers are waited for together.
+bool Urgent(const Input& input) { return !std::holds_alternative<AttemptResult>(input);
 }
 
 }  // namespace
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -2,6 +2,7 @@
 #ifndef LIFTRUDDER_CORE_PORTS_H_
 #define LIFTRUDDER_CORE_PORTS_H_
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,12 +24,24 @@
   std::uint64_t key = 0;
 };
 
+// Whether the client of a query is still there: its front says so the moment it has gone, and what has not
+// been begun by then is not begun any more. Any thread.
+class Presence {
+ public:
+  void Leave() { gone_ = true; }
+  bool Gone() const { return gone_; }
+
+ private:
+  std::atomic<bool> gone_{false};
+};
+
 // What every part of a query carries on, byte for byte as the client gave it.
 struct Payload {
   std::string call_id;
   std::string dedup_key;  // only in a deduplicated class
   std::string statement;
-  std::string target;  // which index it is about, where a front has such a thing
+  std::string target;                      // which index it is about, where a front has such a thing
+  std::shared_ptr<const Presence> client;  // null: nobody looks
 };
 
 struct QueryRequest {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,7 +34,7 @@
 namespace lr = liftrudder;
 
 constexpr lr::core::Micros kStillListening = 700'000;  // after SIGTERM
-constexpr lr::core::Micros kSlice = 1'000'000;
+constexpr lr::core::Micros kSlice = 50'000;            // how soon a signal is heard while it is ending
 
 sigset_t Signals() {
   sigset_t set;
@@ -67,6 +67,16 @@
   lr::log::Error("reload: {}; the old settings stay", error.what());
 }
 
+// Guards against a signal that is lost because the end has been told already: what is still served for
+// seconds follows discovery to its new address. `over` waits a slice and says whether that was the last.
+void HearUntil(const sigset_t& signals, const std::function<void()>& reload,
+               const std::function<bool()>& over) {
+  const timespec now{0, 0};
+  while (!over()) {
+    if (sigtimedwait(&signals, nullptr, &now) == SIGHUP) reload();
+  }
+}
+
 void Pause(lr::core::Micros span) {
   timespec left{span / 1'000'000, (span % 1'000'000) * 1000};
   while (nanosleep(&left, &left) != 0) {
@@ -225,10 +235,14 @@
     // Another process holds the passed listener too: it takes in who comes now.
     if (!passed.empty()) server.LeaveListener();
     lr::log::Info("told to end; {} queries are open", core.Open());
-    Pause(kStillListening);
+    lr::core::Micros until = clock.Now() + kStillListening;
+    HearUntil(signals, reload, [&] {
+      lr::core::Micros left = until - clock.Now();
+      if (left > 0) Pause(std::min(left, kSlice));
+      return left <= 0;
+    });
     server.StopListening();
-    while (!server.WaitClosed(kSlice)) {
-    }
+    HearUntil(signals, reload, [&] { return server.WaitClosed(kSlice); });
   }
   core.Stop();
   core_thread.Join();
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -228,9 +228,13 @@
   while (!link.queue.empty()) {
     core::AttemptKey key = link.queue.front();
     auto found = live_.find(key);
-    if (found == live_.end() || Stale(found->second.order)) {
+    if (found == live_.end()) {  // withdrawn while it waited
       link.queue.pop_front();
-      Finish(key, core::Cause::kStale);  // or withdrawn while it waited
+      continue;
+    }
+    if (auto barred = Barred(found->second.order)) {
+      link.queue.pop_front();
+      Finish(key, *barred);
       continue;
     }
     Number number = Pick(link, dialect_.Id(found->second.order));
@@ -397,12 +401,14 @@
 
 // ---- frames out ----
 
-// Looked at before the first byte only: a holder that drains, a client that gave up, a time that is over.
-bool HolderLinks::Stale(const core::AttemptOrder& order) const {
+// Looked at before the first byte only: a client that has left, a holder that drains, a time that is over.
+std::optional<core::Cause> HolderLinks::Barred(const core::AttemptOrder& order) const {
+  if (order.payload->client != nullptr && order.payload->client->Gone()) return core::Cause::kLeft;
   Micros now = clock_.Now();
   core::HolderAddress holder = directory_.Find(order.holder);
   bool stopped = holder.id.empty() || (holder.stop_sending_us > 0 && now >= holder.stop_sending_us);
-  return stopped || now >= order.wait_until_us;
+  if (stopped || now >= order.wait_until_us) return core::Cause::kStale;
+  return std::nullopt;
 }
 
 void HolderLinks::Write(Number number, Connection& connection, const core::AttemptKey& key,
@@ -450,14 +456,16 @@
   return true;
 }
 
-// Guards the first byte of a frame that had to wait for room: by now its time may be over or its holder
-// drain.
+// Guards the first byte of a frame that had to wait for room: by now its client may have left, its time be
+// over or its holder drain.
 bool HolderLinks::Unsent(Connection& connection) {
   core::AttemptKey key = *connection.writing;
   auto found = live_.find(key);
-  if (found != live_.end() && !Stale(found->second.order)) return false;
+  std::optional<core::Cause> barred = core::Cause::kStale;
+  if (found != live_.end()) barred = Barred(found->second.order);
+  if (!barred) return false;
   TakeBack(connection);
-  Finish(key, core::Cause::kStale);
+  Finish(key, *barred);
   return true;
 }
 
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -145,7 +145,7 @@
   bool TakeAnswer(Connection& connection, HolderAnswer answer);
   void Drop(Number number, Connection& connection, core::Cause cause);
   void Arm(Number number, Connection& connection, bool writes);
-  bool Stale(const core::AttemptOrder& order) const;
+  std::optional<core::Cause> Barred(const core::AttemptOrder& order) const;
   bool OutOfUse(const Connection& connection, const std::string& addr, Micros now) const;
   void Finish(const core::AttemptKey& key, core::Cause cause, HolderAnswer answer = {});
 
--- a/src/net/lingerer.cpp
+++ b/src/net/lingerer.cpp
@@ -4,6 +4,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <vector>
 
 namespace liftrudder::net {
@@ -36,6 +37,16 @@
   [[maybe_unused]] ssize_t written = ::write(waker_.Get(), &one, sizeof one);
 }
 
+void Lingerer::Resize(std::size_t most) {
+  std::lock_guard lock(mutex_);
+  most_ = most;
+}
+
+bool Lingerer::WaitEmpty(Micros wait_us) {
+  std::unique_lock lock(mutex_);
+  return emptied_.wait_for(lock, std::chrono::microseconds(wait_us), [this] { return all_.empty(); });
+}
+
 void Lingerer::Loop() {
   while (!stopping_) {
     std::vector<pollfd> fds{{waker_.Get(), POLLIN, 0}};
@@ -59,6 +70,7 @@
     one.left -= dropped.value_or(0);
     return !dropped || one.left == 0 || now >= one.until_us;
   });
+  if (all_.empty()) emptied_.notify_all();
 }
 
 }  // namespace liftrudder::net
--- a/src/net/lingerer.h
+++ b/src/net/lingerer.h
@@ -3,6 +3,7 @@
 #define LIFTRUDDER_NET_LINGERER_H_
 
 #include <atomic>
+#include <condition_variable>
 #include <list>
 #include <mutex>
 
@@ -18,6 +19,9 @@
 
   // Ends our writing, throws away what still comes, bounded in bytes and time, and closes. Never blocks.
   void Take(Fd fd);
+  void Resize(std::size_t most);
+  // Whether none is held any more within that time.
+  bool WaitEmpty(Micros wait_us);
 
  private:
   struct One {
@@ -28,10 +32,11 @@
   void Loop();
   void Sweep();
 
-  const std::size_t most_;
+  std::size_t most_;  // under the lock
   SteadyClock clock_;
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
+  std::condition_variable emptied_;
   std::list<One> all_;
   Fd waker_;
   Thread thread_;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <exception>
 #include <tuple>
+#include <utility>
 
 #include "log/log.h"
 
@@ -13,13 +14,13 @@
 namespace {
 
 constexpr int kSliceMs = 100;               // how often the door looks for what is overdue at least,
+constexpr int kLastSliceMs = 10;            // while it is ending
 constexpr Micros kLook = 20'000;            // and at most
 constexpr Micros kFirstWait = 2'000'000;    // from connecting to the end of the first request: 3 s are owed
 constexpr Micros kRequestWait = 2'000'000;  // for the rest of a later request that has begun
 constexpr Micros kIdleWait = 2'000'000;
 constexpr Micros kShortIdle = 200'000;  // and no longer than this while clients hold most of what they may
 constexpr Micros kWriteWait = 2'000'000;
-constexpr Micros kLookWait = 250'000;  // how soon a client that has gone is seen while its answer is out
 // Near the cap connections are closed that have stood idle, or mute, for longer than this; at the cap any.
 constexpr Micros kOldIdle = 2'000'000;
 constexpr Micros kOldMute = 500'000;
@@ -30,6 +31,7 @@
 constexpr int kLingering = 20;             // connections ended by us that are read to their end
 constexpr int kAtOnce = 64;                // connections taken, and events, in one turn
 constexpr std::size_t kMostRead = 131072;  // bytes of one client in one turn
+constexpr std::uint64_t kListener = 0;     // no session's number
 
 }  // namespace
 
@@ -44,7 +46,8 @@
       tls_(tls),
       lingerer_(kLingering),
       epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
-  epoll_event event{EPOLLIN, {nullptr}};
+  epoll_event event{EPOLLIN, {}};
+  event.data.u64 = kListener;
   ::epoll_ctl(epoll_.Get(), EPOLL_CTL_ADD, listener_.Get(), &event);
   door_ = Thread([this] { WatchDoor(); });
 }
@@ -53,6 +56,7 @@
   Drain();
   StopListening();
   while (!WaitClosed(kRequestWait)) log::Error("client connections stay open");
+  door_.Join();
 }
 
 void Server::Resize(const ServerLimits& limits) {
@@ -74,33 +78,35 @@
 }
 
 void Server::StopListening() {
-  {
-    std::lock_guard lock(mutex_);
-    stopping_ = true;
-  }
-  door_.Join();
-  listener_ = Fd();
+  std::lock_guard lock(mutex_);
+  stopping_ = true;
   work_.notify_all();
 }
 
+// The process ends after this: answers that their clients have not taken in yet would be lost with it.
 bool Server::WaitClosed(Micros wait_us) {
-  std::unique_lock lock(mutex_);
-  return left_.wait_for(lock, std::chrono::microseconds(wait_us),
-                        [this] { return sessions_.empty() && workers_ == 0; });
+  Micros until = clock_.Now() + wait_us;
+  {
+    std::unique_lock lock(mutex_);
+    bool closed = left_.wait_for(lock, std::chrono::microseconds(wait_us),
+                                 [this] { return sessions_.empty() && workers_ == 0 && door_ended_; });
+    if (!closed) return false;
+  }
+  return lingerer_.WaitEmpty(std::max<Micros>(0, until - clock_.Now()));
 }
 
 void Server::WatchDoor() {
   bool listening = true;
-  while (!stopping_) {
+  while (true) {
+    bool last = stopping_;  // looked at before the events: what came until then is taken in below
     epoll_event events[kAtOnce];
-    int got = ::epoll_wait(epoll_.Get(), events, kAtOnce, kSliceMs);
+    int got = ::epoll_wait(epoll_.Get(), events, kAtOnce, last ? kLastSliceMs : kSliceMs);
     bool knock = false;
     for (int i = 0; i < got; ++i) {
-      // Connections end others only after this loop: an event's session is there when its turn comes.
-      if (events[i].data.ptr == nullptr) {
+      if (events[i].data.u64 == kListener) {
         knock = true;
       } else {
-        Receive(static_cast<Session*>(events[i].data.ptr)->self);
+        Happened(events[i].data.u64, (events[i].events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0);
       }
     }
     if (tls_ != nullptr) LimitShaking();
@@ -110,8 +116,25 @@
     }
     if (knock && listening) TakeIn();
     EndOverdue(clock_.Now());
+    if (!last) continue;
+    if (listening) {
+      // Who stands in the backlog has been let in by the kernel: a close would reset it, request and all.
+      while (TakeIn()) {
+      }
+      listening = false;
+    }
+    listener_ = Fd();
+    lingerer_.Resize(static_cast<std::size_t>(std::max(1, most_connections_.load())));
+    if (EndUnused(clock_.Now())) break;
   }
-  // What has come by now is still answered; the others have no request open.
+  std::lock_guard lock(mutex_);
+  door_ended_ = true;
+  left_.notify_all();
+}
+
+// While ending: ends what has no request on it, and whether nothing is left. What has come, also a part of a
+// request, is waited for and answered, and a connection just made gets a moment for its request.
+bool Server::EndUnused(Micros now) {
   std::vector<Place> waiting;
   {
     std::lock_guard lock(mutex_);
@@ -120,24 +143,23 @@
     }
   }
   for (Place place : waiting) {
-    Receive(place);
-  }
-  std::lock_guard lock(mutex_);
-  for (Place place = sessions_.begin(); place != sessions_.end();) {
-    Place next = std::next(place);
-    if (place->phase != Phase::kBusy) {
-      place->line.Finish();
-      sessions_.erase(place);
+    bool young = place->phase == Phase::kNew && now - place->since_us < kShortIdle;
+    if (young || place->received_us != 0) continue;  // the poll tells of what comes
+    if (Peek(place->line.fd()) == Sight::kBytes) {
+      Receive(place);
+    } else {
+      Remove(place).Finish();
     }
-    place = next;
   }
-  left_.notify_all();
+  std::lock_guard lock(mutex_);
+  return sessions_.empty();
 }
 
-void Server::TakeIn() {
+// Whether there may be more to take in.
+bool Server::TakeIn() {
   for (int i = 0; i < kAtOnce; ++i) {
     Fd accepted = Accept(listener_, 0);
-    if (!accepted.Valid()) return;
+    if (!accepted.Valid()) return false;
     ClientLine client(std::move(accepted), tls_);
     Micros now = clock_.Now();
     if (!MakeRoom(now)) {
@@ -148,18 +170,38 @@
     {
       std::lock_guard lock(mutex_);
       place = sessions_.emplace(sessions_.end());
+      place->number = ++given_;
+      places_[place->number] = place;
     }
-    place->self = place;
     place->line = std::move(client);
     place->since_us = now;
     place->until_us = now + kFirstWait;
-    Arm(place, true);
+    Arm(*place, EPOLL_CTL_ADD, EPOLLIN);
   }
+  return true;
+}
+
+void Server::Arm(const Session& session, int how, std::uint32_t what) {
+  epoll_event event{what | EPOLLRDHUP | EPOLLONESHOT, {}};
+  event.data.u64 = session.number;
+  ::epoll_ctl(epoll_.Get(), how, session.line.fd(), &event);
 }
 
-void Server::Arm(Place place, bool first) {
-  epoll_event event{EPOLLIN | EPOLLRDHUP | EPOLLONESHOT, {&*place}};
-  ::epoll_ctl(epoll_.Get(), first ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, place->line.fd(), &event);
+// Its worker may have ended a busy connection, or made it idle, since the poll saw something there.
+void Server::Happened(Number number, bool gone) {
+  std::shared_ptr<Vigil> vigil;
+  Place place;
+  {
+    std::lock_guard lock(mutex_);
+    auto found = places_.find(number);
+    if (found == places_.end()) return;
+    place = found->second;
+    if (place->phase == Phase::kBusy) vigil = place->vigil;
+    // Bytes that stay unread until the worker looks must not hide that their client leaves.
+    if (vigil != nullptr && !gone) Arm(*place, EPOLL_CTL_MOD, 0);
+  }
+  if (vigil != nullptr) return vigil->Stir(gone);
+  Receive(place);
 }
 
 void Server::TurnAway(ClientLine client) {
@@ -193,6 +235,7 @@
   ::epoll_ctl(epoll_.Get(), EPOLL_CTL_DEL, place->line.fd(), nullptr);
   ClientLine line = std::move(place->line);
   busy_ -= place->phase == Phase::kBusy ? 1 : 0;
+  places_.erase(place->number);
   sessions_.erase(place);
   left_.notify_all();
   return line;
@@ -279,7 +322,7 @@
   std::size_t taken = 0;
   while (true) {
     Io got = place->line.Read(place->pending);
-    if (got == Io::kTimeout) return Arm(place, false);
+    if (got == Io::kTimeout) return Arm(*place, EPOLL_CTL_MOD, EPOLLIN);
     if (got != Io::kOk) return static_cast<void>(Remove(place));
     if (place->received_us == 0) {
       place->received_us = clock_.Now();
@@ -295,7 +338,7 @@
       return Refuse(place, handler_.Malformed(400));
     }
     if (done) return HandOver(place);
-    if (taken > kMostRead) return Arm(place, false);
+    if (taken > kMostRead) return Arm(*place, EPOLL_CTL_MOD, EPOLLIN);
   }
 } catch (const std::exception& error) {
   log::Error("client connection: {}", error.what());
@@ -312,6 +355,14 @@
   if (room) {
     ++busy_;
     place->phase = Phase::kBusy;
+    // The number finds this connection only: by the time it is looked at again another may have its
+    // descriptor.
+    place->vigil = std::make_shared<Vigil>([this, number = place->number] {
+      std::lock_guard again(mutex_);
+      auto found = places_.find(number);
+      if (found != places_.end()) Arm(*found->second, EPOLL_CTL_MOD, EPOLLIN);
+    });
+    Arm(*place, EPOLL_CTL_MOD, EPOLLIN);
     ready_.push_back(place);
     work_.notify_one();
     return;
@@ -338,7 +389,8 @@
   place->until_us = place->since_us + kIdleWait;
   place->received_us = 0;
   place->parser = HttpParser(HttpParser::Kind::kRequest);
-  Arm(place, false);
+  place->vigil = nullptr;
+  Arm(*place, EPOLL_CTL_MOD, EPOLLIN);
 }
 
 void Server::Work() {
@@ -363,7 +415,7 @@
 }
 
 void Server::Answer(Place place, std::vector<Served>& served) try {
-  Exchange exchange{&place->line, place->received_us, !Ready(), &served};
+  Exchange exchange{&place->line, place->received_us, !Ready(), &served, place->vigil};
   auto response = handler_.Handle(place->parser.message(), exchange);
   if (!response) return static_cast<void>(Remove(place));
   // Told to end, we still serve those who are connected until new ones are turned away: sent off at once,
@@ -384,22 +436,35 @@
   Remove(place);
 }
 
-void WaitingReply::Deliver(core::FinalAnswer answer) {
+void Vigil::Stir(bool gone) {
+  if (gone) client_->Leave();
   std::lock_guard lock(mutex_);
-  answer_ = std::move(answer);
+  stirred_ = true;
   came_.notify_one();
 }
 
+void WaitingReply::Deliver(core::FinalAnswer answer) {
+  std::lock_guard lock(vigil_->mutex_);
+  answer_ = std::move(answer);
+  vigil_->came_.notify_one();
+}
+
 WaitingReply::End WaitingReply::Wait(ClientLine& client, const core::Clock& clock, Micros deadline_us) {
-  std::unique_lock lock(mutex_);
+  std::unique_lock lock(vigil_->mutex_);
   while (!answer_) {
     Micros left = deadline_us - clock.Now();
     if (left <= 0) return End::kLate;
-    came_.wait_for(lock, std::chrono::microseconds(std::min(left, kLookWait)));
-    if (answer_) break;
+    if (!std::exchange(vigil_->stirred_, false)) {
+      vigil_->came_.wait_for(lock, std::chrono::microseconds(left));
+      continue;
+    }
+    lock.unlock();
     Sight sight = client.See();
+    if (sight == Sight::kEnd) vigil_->client_->Leave();
+    if (sight == Sight::kNothing) vigil_->look_again_();
     if (sight == Sight::kEnd) return End::kGone;
     if (sight == Sight::kBytes) return End::kCrowded;
+    lock.lock();
   }
   return End::kAnswered;
 }
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -6,11 +6,13 @@
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <list>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/ports.h"
@@ -24,12 +26,32 @@
 
 using core::Served;
 
+// Where a worker waits for the answers to one request. The door's thread goes on looking at the connection
+// and stirs the worker when something is to be seen there; a client that has gone is marked so at once,
+// before any worker runs.
+class Vigil {
+ public:
+  // `look_again`: the connection is to be watched on, after what was seen there turned out to be nothing.
+  explicit Vigil(std::function<void()> look_again) : look_again_(std::move(look_again)) {}
+  const std::shared_ptr<core::Presence>& client() const { return client_; }
+  void Stir(bool gone);
+
+ private:
+  friend class WaitingReply;
+  const std::function<void()> look_again_;
+  const std::shared_ptr<core::Presence> client_ = std::make_shared<core::Presence>();
+  std::mutex mutex_;
+  std::condition_variable came_;  // an answer, or a stir
+  bool stirred_ = false;
+};
+
 // What a handler knows of the connection it answers on.
 struct Exchange {
   ClientLine* line = nullptr;  // to see the client go, and who it is
   Micros received_us = 0;      // when the request's first byte was seen
   bool draining = false;
   std::vector<Served>* served = nullptr;  // the handler enters which queries its response answers
+  std::shared_ptr<Vigil> vigil;           // to wait at
 };
 
 class Handler {
@@ -69,15 +91,17 @@
   bool Ready() const { return !draining_ && aside_us_ == 0; }
   // Takes nobody in any more; those who are there are served on, and told that their connection ends.
   void LeaveListener() { left_listener_ = true; }
+  // No more of them come in. Every request that has, or has begun to, is answered.
   void StopListening();
-  // Whether all connections have ended within that time.
+  // Whether all connections have ended within that time, and every client has its answer or is out of time.
   bool WaitClosed(Micros wait_us);
 
  private:
   // New: nothing has been answered on it yet. Busy: a worker has its request.
   enum class Phase { kNew, kBusy, kIdle };
+  using Number = std::uint64_t;  // a session's; never given twice, so that late events find nothing
   struct Session {
-    std::list<Session>::iterator self;
+    Number number = 0;
     ClientLine line;
     Phase phase = Phase::kNew;
     Micros since_us = 0;     // in this phase
@@ -85,17 +109,20 @@
     Micros received_us = 0;  // when its first byte was seen
     HttpParser parser{HttpParser::Kind::kRequest};
     std::string pending;
+    std::shared_ptr<Vigil> vigil;  // while it is busy
   };
   using Place = std::list<Session>::iterator;
 
   // The door's thread: takes connections and requests in, and ends those that are due.
   void WatchDoor();
-  void TakeIn();
+  bool TakeIn();
+  bool EndUnused(Micros now);
+  void Happened(Number number, bool gone);
   void Receive(Place place);
   void HandOver(Place place);
   bool MakeRoom(Micros now);
   void EndOverdue(Micros now);
-  void Arm(Place place, bool first);
+  void Arm(const Session& session, int how, std::uint32_t what);
   void Refuse(Place place, const HttpResponse& response);
   ClientLine Remove(Place place);
   void TurnAway(ClientLine client);
@@ -122,15 +149,19 @@
   std::condition_variable left_, work_;
   std::list<Session>
       sessions_;  // the door's thread's, those that are busy their worker's; the list under the lock
-  std::deque<Place> ready_;  // busy, and no worker's yet
+  std::unordered_map<Number, Place> places_;  // under the lock
+  Number given_ = 0;                          // the door's
+  std::deque<Place> ready_;                   // busy, and no worker's yet
   int busy_ = 0, workers_ = 0, idle_workers_ = 0;
-  Micros looked_us_ = 0;  // the door's: when it last looked for what is overdue
+  bool door_ended_ = false;  // under the lock
+  Micros looked_us_ = 0;     // the door's: when it last looked for what is overdue
   Thread door_;
 };
 
 // A client's place to wait; see core::ClientReply.
 class WaitingReply : public core::ClientReply {
  public:
+  explicit WaitingReply(std::shared_ptr<Vigil> vigil) : vigil_(std::move(vigil)) {}
   void Deliver(core::FinalAnswer answer) override;
 
   // Crowded: the client has written more although its answer is still out.
@@ -140,9 +171,8 @@
   core::FinalAnswer& answer() { return *answer_; }
 
  private:
-  std::mutex mutex_;
-  std::condition_variable came_;
-  std::optional<core::FinalAnswer> answer_;
+  const std::shared_ptr<Vigil> vigil_;
+  std::optional<core::FinalAnswer> answer_;  // under the vigil's lock
 };
 
 }  // namespace liftrudder::net
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -224,10 +224,11 @@
   core::Payload payload;
   payload.call_id = fmt::format("{}{:x}-{}", count ? kCountMark : 's', config_.seed, ++asked_);
   payload.target = std::move(target);
+  payload.client = exchange.vigil->client();
   payload.statement = std::move(body);
   query.payload = std::make_shared<const core::Payload>(std::move(payload));
   Asked asked;
-  asked.reply = std::make_shared<net::WaitingReply>();
+  asked.reply = std::make_shared<net::WaitingReply>(exchange.vigil);
   asked.deadline_us = query.deadline_us;
   asked.index = &index;
   asked.whole = whole;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -134,7 +134,7 @@
 }
 
 std::optional<core::QueryRequest> Front::Read(const net::HttpMessage& request,
-                                              core::Micros received_us) const {
+                                              const net::Exchange& exchange) const {
   const std::string* id = Only(request, "X-Call-Id");
   const std::string* name = Only(request, "X-Call-Class");
   const std::string* budget = Only(request, "X-Budget");
@@ -145,12 +145,13 @@
   if (!seconds || *seconds <= 0 || *seconds > 3600 || found == config_.classes.end()) return std::nullopt;
   core::QueryRequest query;
   query.class_index = static_cast<int>(found - config_.classes.begin());
-  query.received_us = received_us;
-  query.deadline_us = received_us + static_cast<core::Micros>(*seconds * 1e6);
+  query.received_us = exchange.received_us;
+  query.deadline_us = exchange.received_us + static_cast<core::Micros>(*seconds * 1e6);
   const std::string* again = request.Header("X-Again");
   query.repeated = again != nullptr && *again == "1";
   core::Payload payload;
   payload.call_id = *id;
+  payload.client = exchange.vigil->client();
   tinsail::Effect effect = config_.settings.classes[static_cast<std::size_t>(query.class_index)].effect;
   if (effect == tinsail::Effect::kDeduplicated) {
     if (key == nullptr || !Plain(*key)) return std::nullopt;
@@ -182,7 +183,7 @@
 }
 
 std::optional<net::HttpResponse> Front::Query(net::HttpMessage& request, const net::Exchange& exchange) {
-  auto query = Read(request, exchange.received_us);
+  auto query = Read(request, exchange);
   if (!query) return Rejected(request, why::Door::kMalformed, Problem(400, "the request cannot be read"));
   request.body = std::string();  // all that is needed of it has been taken out
   // Guards the ids of parts, which are made from the query's: of two open queries they must differ.
@@ -206,7 +207,7 @@
 
 std::optional<net::HttpResponse> Front::Ask(core::QueryRequest query, const net::Exchange& exchange) {
   core::Micros deadline_us = query.deadline_us;
-  auto reply = std::make_shared<net::WaitingReply>();
+  auto reply = std::make_shared<net::WaitingReply>(exchange.vigil);
   auto id = core_.Admit(std::move(query), reply);
   if (!id) return Refusal(503, kBusyRetryUs, "too many queries are open");
   exchange.served->push_back({*id, 0});
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -29,7 +29,7 @@
   std::optional<net::HttpResponse> Query(net::HttpMessage& request, const net::Exchange& exchange);
   std::optional<net::HttpResponse> Ask(core::QueryRequest query, const net::Exchange& exchange);
   // Nothing when the request is not one; `statement` and key stay as they came.
-  std::optional<core::QueryRequest> Read(const net::HttpMessage& request, core::Micros received_us) const;
+  std::optional<core::QueryRequest> Read(const net::HttpMessage& request, const net::Exchange& exchange) const;
   net::HttpResponse Rejected(const net::HttpMessage& request, why::Door door, net::HttpResponse response);
 
   const config::Config& config_;
--- a/src/why/counts.cpp
+++ b/src/why/counts.cpp
@@ -36,8 +36,8 @@
 constexpr std::array<std::string_view, 5> kFrontNames = {"platform", "search", "count", "scroll", "msearch"};
 constexpr std::array<std::string_view, 4> kProgressNames = {"not_connected", "partly_written",
                                                             "wholly_written", "answering"};
-constexpr std::array<std::string_view, 8> kCauseNames = {"served",          "broke",     "skipped", "spoilt",
-                                                         "connection_lost", "withdrawn", "expired", "stale"};
+constexpr std::array<std::string_view, 9> kCauseNames = {
+    "served", "broke", "skipped", "spoilt", "connection_lost", "withdrawn", "expired", "stale", "left"};
 constexpr std::array<std::string_view, 8> kOutcomeNames = {
     "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"};
 constexpr std::array<std::string_view, 9> kStandingNames = {
--- a/src/why/ends.h
+++ b/src/why/ends.h
@@ -18,7 +18,8 @@
   kConnectionLost,
   kWithdrawn,
   kExpired,
-  kStale
+  kStale,  // its time was over, or its holder takes nothing new
+  kLeft    // its client had gone
 };
 
 }  // namespace liftrudder::why
--- a/src/why/explain_text.cpp
+++ b/src/why/explain_text.cpp
@@ -89,6 +89,9 @@
     case Cause::kStale:
       out = "it was not written, as its time was over or the holder takes nothing new";
       break;
+    case Cause::kLeft:
+      out = "it was not written, as its client had left";
+      break;
   }
   switch (one.progress) {
     case Progress::kNotConnected:
--- /dev/null
+++ b/tests/crossings_test.cpp
@@ -0,0 +1,237 @@
+// Crossings: a client's leaving, a signal, an answer or a close that comes between two steps of the program.
+// Each order of events is forced by what a stand-in or a handler holds back; docs/design/crossings.md lists
+// them.
+#define CATCH_CONFIG_MAIN
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <thread>
+
+#include "links.h"
+#include "net/server.h"
+
+using namespace liftrudder;
+using core::Cause;
+using tests::LinksUnderTest;
+using tests::Served;
+
+namespace {
+
+constexpr net::Micros kPatience = 20'000'000;
+constexpr auto kPatienceS = std::chrono::seconds(20);
+
+// Holds a request, or the door's thread on what cannot be read, until it is let go.
+class HoldingHandler : public net::Handler {
+ public:
+  std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override {
+    std::unique_lock lock(mutex_);
+    vigil_ = exchange.vigil;
+    ++inside_;
+    moved_.notify_all();
+    if (request.target == "/held") moved_.wait(lock, [this] { return free_; });
+    return net::HttpResponse{};
+  }
+  net::HttpResponse Malformed(int status) override {
+    std::unique_lock lock(mutex_);
+    ++at_door_;
+    moved_.notify_all();
+    if (hold_door_) moved_.wait(lock, [this] { return free_; });
+    net::HttpResponse out;
+    out.status = status;
+    return out;
+  }
+  net::HttpResponse Overloaded(const net::HttpMessage*) override { return Malformed(503); }
+  void Wrote(const std::vector<net::Served>&, int, std::size_t, bool) override {}
+
+  void HoldDoor() {
+    std::lock_guard lock(mutex_);
+    hold_door_ = true;
+  }
+  void Free() {
+    std::lock_guard lock(mutex_);
+    free_ = true;
+    moved_.notify_all();
+  }
+  void AwaitInside(int many) {
+    std::unique_lock lock(mutex_);
+    REQUIRE(moved_.wait_for(lock, kPatienceS, [&] { return inside_ >= many; }));
+  }
+  void AwaitAtDoor() {
+    std::unique_lock lock(mutex_);
+    REQUIRE(moved_.wait_for(lock, kPatienceS, [this] { return at_door_ > 0; }));
+  }
+  std::shared_ptr<net::Vigil> vigil() {
+    std::lock_guard lock(mutex_);
+    return vigil_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable moved_;
+  std::shared_ptr<net::Vigil> vigil_;
+  int inside_ = 0, at_door_ = 0;
+  bool free_ = false, hold_door_ = false;
+};
+
+struct Serving {
+  Serving() {
+    net::Fd listener = net::Listen("127.0.0.1:0");
+    addr = net::LocalAddress(listener);
+    server.emplace(std::move(listener), handler, clock, counters, net::ServerLimits{32, 32});
+  }
+  ~Serving() { handler.Free(); }
+  HoldingHandler handler;
+  net::SteadyClock clock;
+  metrics::Counters counters;
+  std::string addr;
+  std::optional<net::Server> server;
+};
+
+std::string Request(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: g\r\n\r\n"; }
+
+void Say(const net::Fd& fd, const std::string& bytes) {
+  REQUIRE(net::WriteAll(fd, bytes, kPatience).status == net::Io::kOk);
+}
+
+// The status of the next answer; 0: the connection ended without one.
+int Answer(const net::Fd& fd) {
+  net::HttpParser parser(net::HttpParser::Kind::kResponse);
+  std::string in;
+  while (net::ReadSome(fd, in, kPatience) == net::Io::kOk) {
+    if (parser.Feed(in) == net::HttpParser::State::kDone) return parser.message().status;
+  }
+  return 0;
+}
+
+void Until(const std::function<bool()>& holds) {
+  net::SteadyClock clock;
+  for (net::Micros until = clock.Now() + kPatience; !holds();) {
+    REQUIRE(clock.Now() < until);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
+void Reset(net::Fd& fd) {
+  linger now{1, 0};
+  ::setsockopt(fd.Get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  fd = net::Fd();
+}
+
+}  // namespace
+
+TEST_CASE("a client that leaves is seen while no thread waits for its answer") {
+  Serving one;
+  net::Fd client = net::Connect(one.addr, kPatience);
+  Say(client, Request("/held"));
+  one.handler.AwaitInside(1);
+  auto here = one.handler.vigil()->client();
+  CHECK_FALSE(here->Gone());
+  SECTION("by closing") { client = net::Fd(); }
+  SECTION("by a reset") { Reset(client); }
+  SECTION("with bytes behind its request") {
+    Say(client, "GET ");
+    client = net::Fd();
+  }
+  SECTION("with bytes some time before") {
+    Say(client, "GET ");
+    // Another request is through: what came before it has been looked at.
+    net::Fd other = net::Connect(one.addr, kPatience);
+    Say(other, Request("/"));
+    CHECK(Answer(other) == 200);
+    client = net::Fd();
+  }
+  Until([&] { return here->Gone(); });
+}
+
+TEST_CASE("a connection's next request does not inherit that an earlier client seemed to leave") {
+  Serving one;
+  net::Fd client = net::Connect(one.addr, kPatience);
+  Say(client, Request("/"));
+  CHECK(Answer(client) == 200);
+  auto first = one.handler.vigil()->client();
+  Say(client, Request("/held"));
+  one.handler.AwaitInside(2);
+  CHECK(one.handler.vigil()->client() != first);
+  one.handler.Free();
+  CHECK(Answer(client) == 200);
+}
+
+TEST_CASE("what waits for a client that has left is not begun") {
+  net::LinkLimits limits;
+  limits.max_connections = limits.streams_per_connection = 1;
+  LinksUnderTest all(1, limits);
+  auto client = std::make_shared<core::Presence>();
+  SECTION("behind another part on the only connection") {
+    all.Send(0);
+    net::Fd holder = all.Take(0);
+    all.Send(0, client);
+    client->Leave();
+    net::WriteAll(holder, Served(1), kPatience);
+    CHECK(all.Ended(0).cause == Cause::kServed);
+    core::AttemptResult second = all.Ended(1);
+    CHECK(second.cause == Cause::kLeft);
+    CHECK(core::OutcomeOf(second.progress, second.cause) == core::OutcomeCode::kMoot);
+    all.links.reset();
+    std::string more;
+    CHECK(net::ReadSome(holder, more, kPatience) == net::Io::kEnd);
+    CHECK(more.empty());
+  }
+  SECTION("as it is handed over") {
+    client->Leave();
+    all.Send(0, client);
+    CHECK(all.Ended(0).cause == Cause::kLeft);
+  }
+}
+
+TEST_CASE("who stands in the backlog when the listener closes is answered") {
+  Serving one;
+  one.handler.HoldDoor();
+  net::Fd bad = net::Connect(one.addr, kPatience);
+  Say(bad, "no request\r\n\r\n");
+  one.handler.AwaitAtDoor();  // the door takes nobody in any more
+  net::Fd late = net::Connect(one.addr, kPatience);
+  Say(late, Request("/"));
+  auto stopped = std::async(std::launch::async, [&] { one.server->StopListening(); });
+  one.handler.Free();
+  CHECK(Answer(late) == 200);
+  stopped.get();
+}
+
+TEST_CASE("a request of which a part has come when the listener closes is read to its end and answered") {
+  Serving one;
+  net::Fd half = net::Connect(one.addr, kPatience);
+  Say(half, Request("/"));
+  CHECK(Answer(half) == 200);
+  Say(half, "GET / HTTP/1.1\r\nHo");
+  net::Fd other = net::Connect(one.addr, kPatience);
+  Say(other, Request("/"));
+  CHECK(Answer(other) == 200);
+  one.server->StopListening();
+  Until([&] { return !net::Connect(one.addr, kPatience).Valid(); });
+  Say(half, "st: g\r\n\r\n");
+  CHECK(Answer(half) == 200);
+}
+
+TEST_CASE("a client that leaves while the last requests are open is seen") {
+  Serving one;
+  net::Fd client = net::Connect(one.addr, kPatience);
+  Say(client, Request("/held"));
+  one.handler.AwaitInside(1);
+  one.server->StopListening();
+  Until([&] { return !net::Connect(one.addr, kPatience).Valid(); });
+  auto here = one.handler.vigil()->client();
+  client = net::Fd();
+  Until([&] { return here->Gone(); });
+}
+
+TEST_CASE("the end waits for clients that have not taken their answers in") {
+  net::Fd listener = net::Listen("127.0.0.1:0");
+  net::Fd client = net::Connect(net::LocalAddress(listener), kPatience);
+  net::Lingerer lingerer(2);
+  CHECK(lingerer.WaitEmpty(0));
+  lingerer.Take(net::Accept(listener, kPatience));
+  CHECK_FALSE(lingerer.WaitEmpty(0));
+  client = net::Fd();
+  CHECK(lingerer.WaitEmpty(kPatience));
+}
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -1,22 +1,21 @@
 // Small tests of parts that need no program and no socket.
 #define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
-#include <condition_variable>
 #include <filesystem>
-#include <mutex>
 #include <tuple>
 
 #include "config/config.h"
 #include "core/book.h"
 #include "core/directory.h"
 #include "dns/update.h"
-#include "net/holder_links.h"
+#include "links.h"
 #include "net/http.h"
 #include "net/json.h"
 #include "opensearch/merge.h"
-#include "platform/frames.h"
 
 using namespace liftrudder;
+using tests::LinksUnderTest;
+using tests::Served;
 using core::Cause;
 using core::OutcomeCode;
 using core::Progress;
@@ -99,73 +98,6 @@
 
 // A hundred gatherers with a thread for each holder and one for each connection ran into the system's limit
 // on threads, and no attempt started after that ended.
-namespace {
-
-// Links to so many listening holders; parts go out and their ends come back.
-class LinksUnderTest {
- public:
-  LinksUnderTest(int holders, const net::LinkLimits& limits)
-      : dialect(load_names) {
-    core::HolderList list{1, tinsail::ListKind::kFull, {}};
-    for (int i = 0; i < holders; ++i) {
-      listeners.push_back(net::Listen("127.0.0.1:0"));
-      list.entries.push_back({"h" + std::to_string(i), net::LocalAddress(listeners.back()), {}});
-    }
-    news = directory.Apply(list, 1);
-    links.emplace(dialect, directory, clock, limits, counters, figures, [this](core::AttemptResult result) {
-      std::lock_guard lock(mutex);
-      results.push_back(std::move(result));
-      wake.notify_one();
-    });
-  }
-  void Send(int holder) {
-    core::AttemptOrder order;
-    order.key = {++parts, 0};
-    order.holder = news->replicas[static_cast<std::size_t>(holder)].id;
-    order.shard = static_cast<int>(parts);
-    order.wait_until_us = clock.Now() + 60'000'000;
-    order.payload = std::make_shared<core::Payload>(core::Payload{"q", "", "text", ""});
-    links->Start(std::move(order));
-  }
-  // The holder's newest connection, once a frame has come on it.
-  net::Fd Take(int holder) {
-    net::Fd fd = net::Accept(listeners[static_cast<std::size_t>(holder)], 10'000'000);
-    std::string got;
-    REQUIRE(net::ReadSome(fd, got, 10'000'000) == net::Io::kOk);
-    return fd;
-  }
-  core::AttemptResult Ended(std::size_t nth) {
-    std::unique_lock lock(mutex);
-    REQUIRE(wake.wait_for(lock, std::chrono::seconds(20), [&] { return results.size() > nth; }));
-    return results[nth];
-  }
-  std::size_t Results() {
-    std::lock_guard lock(mutex);
-    return results.size();
-  }
-
-  std::vector<net::Fd> listeners;
-  core::Directory directory;
-  std::optional<tinsail::ListNews> news;
-  net::SteadyClock clock;
-  metrics::Counters counters;
-  metrics::Figures figures{{"search"}};
-  const std::vector<std::string> load_names;
-  platform::FrameDialect dialect;
-  std::mutex mutex;
-  std::condition_variable wake;
-  std::vector<core::AttemptResult> results;
-  core::Id parts = 0;
-  std::optional<net::HolderLinks> links;
-};
-
-std::string Served(core::Id part) {
-  std::string text = "aq." + std::to_string(part) + " served 1 -\nv";
-  return std::string{static_cast<char>(text.size()), 0, 0, 0} + text;
-}
-
-}  // namespace
-
 TEST_CASE("links to many holders take one thread in all, and each attempt ends once") {
   constexpr int kHolders = 60;
   auto threads = [] { return std::distance(std::filesystem::directory_iterator("/proc/self/task"), {}); };
