Parts of one round for one holder share a call: one frame, up to the number in the settings

The module counts parts out by call (CallsWithOneMore, rules.cpp) and takes the parts of a round at one holder for one; HolderLinks::Start wrote each as a frame, so a call, of its own (dialect_.Ask of one order), and each cost its holder the call's work too.

Change: what a round starts goes out with its end (HolderTransport::EndRound), as frames of up to LinkLimits::parts_per_call parts, 64 KiB of text and a connection's streams. Before a frame's first byte each part in it is looked at: what may not go any more is left out.

Test: crossings, the parts of one round share calls; it cannot be built without the change.

--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -9,8 +9,7 @@
 namespace {
 
 // What a client or another holder waits for, or what spares holders work; answers are waited for together.
-bool Urgent(const Input& input) { return !std::holds_alternative<AttemptResult>(input);
-}
+bool Urgent(const Input& input) { return !std::holds_alternative<AttemptResult>(input); }
 
 }  // namespace
 
@@ -102,6 +101,7 @@
       RecordHeld();
       for (const tinsail::Action& action : actions)
         std::visit([this](const auto& what) { Act(what); }, action);
+      transport_->EndRound();
     }
     EndRound(freshen);
   }
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -113,11 +113,13 @@
   virtual void Deliver(FinalAnswer answer) = 0;
 };
 
-// Takes attempts to holders. No call blocks on a socket; each Start ends in exactly one result.
+// Takes attempts to holders. No call blocks on a socket; each Start ends in exactly one result. What is started
+// in one round goes out with its end, so that parts for one holder can share a call.
 class HolderTransport {
  public:
   virtual ~HolderTransport() = default;
   virtual void Start(AttemptOrder order) = 0;
+  virtual void EndRound() = 0;
   virtual void Withdraw(const AttemptKey& key, const ReplicaId& holder, Cause cause) = 0;
   virtual void CloseIdle(const ReplicaId& holder) = 0;
   // Lets go of what is kept for holders that take nothing new and have nothing out.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -125,6 +125,7 @@
       options == nullptr ? static_cast<const lr::net::Dialect&>(frames) : searches;
   lr::net::LinkLimits limits{config.connect_timeout_us, config.idle_close_us,
                              options == nullptr ? config.streams_per_connection : 1,
+                             options == nullptr ? config.settings.parts_per_call : 1,
                              config.budget.holder_connections, config.budget.holders};
   auto links = std::make_unique<lr::net::HolderLinks>(
       dialect, directory, clock, limits, counters, figures,
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -16,6 +16,8 @@
 constexpr Micros kSlice = 100'000;  // how often the thread looks for what is overdue at least
 constexpr double kIdleShare = 0.8;  // of the time after which the holder closes: not used from then on
 constexpr std::size_t kMaxPending = 256 * 1024;
+constexpr std::size_t kMostCallText =
+    64 * 1024;                      // as much as a query's body may hold: parts of one frame together
 constexpr Micros kStall = 500'000;  // an answer that has begun and does not go on for so long is spoilt
 constexpr std::size_t kMostWithdrawn = 64;  // on one connection, before it is left for another
 constexpr double kSpread = 0.75;    // of the connections beyond those: up to here each part out has its own
@@ -67,8 +69,17 @@
   Attempt& attempt = live_[key];
   attempt.order = std::move(order);
   attempt.queued_us = clock_.Now();
-  link.queue.push_back(key);
-  Pump(link);
+  if (link.staged.empty()) staged_.push_back(link.holder);
+  link.staged.push_back(key);
+}
+
+void HolderLinks::EndRound() {
+  std::lock_guard lock(mutex_);
+  for (const core::ReplicaId& holder : std::exchange(staged_, {})) {
+    Link& link = links_.at(holder);
+    for (const core::AttemptKey& key : std::exchange(link.staged, {})) link.queue.push_back(key);
+    Pump(link);
+  }
 }
 
 // The attempt ends now, whatever its holder is at: an attempt's end waits for no socket.
@@ -77,8 +88,9 @@
   auto found = live_.find(key);
   if (found == live_.end()) return;
   auto place = connections_.find(found->second.connection);
-  if (place != connections_.end() && place->second.writing == key && place->second.written == 0)
-    TakeBack(place->second);
+  if (place != connections_.end() && place->second.written == 0 &&
+      std::ranges::find(place->second.writing, key) != place->second.writing.end())
+    TakeBack(place->second, key);
   if (found->second.progress >= core::Progress::kPartlyWritten && place != connections_.end()) {
     Connection& connection = place->second;
     Link& link = *connection.link;
@@ -92,7 +104,7 @@
       if (connection.out.empty()) Drop(place->first, connection, core::Cause::kConnectionLost);
     } else if (cause == core::Cause::kWithdrawn) {
       connection.control.push_back(std::move(frame));
-      if (connection.frame.empty()) Flush(place->first, connection);
+      if (!connection.Writes()) Flush(place->first, connection);
     }
     Pump(link);
   }
@@ -127,7 +139,8 @@
     bool unused = std::ranges::all_of(link.connections,
                                       [&](Number number) { return connections_.at(number).out.empty(); });
     std::erase_if(link.queue, [&](const core::AttemptKey& key) { return !live_.contains(key); });
-    if ((holder.id.empty() || holder.stop_sending_us > 0) && unused && link.queue.empty()) {
+    if ((holder.id.empty() || holder.stop_sending_us > 0) && unused && link.queue.empty() &&
+        link.staged.empty()) {
       for (Number number : std::vector<Number>(link.connections))
         Drop(number, connections_.at(number), core::Cause::kConnectionLost);
       links_.erase(one);
@@ -193,7 +206,7 @@
   std::vector<Number> numbers;
   for (const auto& [number, connection] : connections_) {
     bool idle = connection.up && connection.out.empty() && now - connection.used_us > idle_limit_us_;
-    bool busy = !connection.up || !connection.pending.empty() || !connection.frame.empty();
+    bool busy = !connection.up || !connection.pending.empty() || connection.Writes();
     if (idle || busy) numbers.push_back(number);
   }
   for (Number number : numbers) {
@@ -211,7 +224,7 @@
     } else if (!connection.pending.empty() && now - connection.heard_us >= kStall) {
       counters_.spoilt.Add();
       Drop(number, connection, core::Cause::kSpoilt);
-    } else if (!connection.frame.empty() && now >= connection.write_until_us) {
+    } else if (connection.Writes() && now >= connection.write_until_us) {
       Drop(number, connection, core::Cause::kConnectionLost);  // a frame cut short is followed by no other
     } else if (connection.out.empty() && now - connection.used_us > idle_limit_us_) {
       Drop(number, connection, core::Cause::kConnectionLost);
@@ -239,8 +252,7 @@
     }
     Number number = Pick(link, dialect_.Id(found->second.order));
     if (number != 0) {
-      link.queue.pop_front();
-      Write(number, connections_.at(number), key, found->second);
+      TakeBatch(link, number, connections_.at(number));
     } else if (link.connecting > 0) {
       return;
     } else {
@@ -253,6 +265,36 @@
   }
 }
 
+// The first of the queue and those behind it that may share its call, which costs the holder work beside that
+// of its parts.
+void HolderLinks::TakeBatch(Link& link, Number number, Connection& connection) {
+  std::size_t text = 0;
+  auto room =
+      std::min<std::size_t>(static_cast<std::size_t>(std::max(1, limits_.parts_per_call)),
+                            static_cast<std::size_t>(limits_.streams_per_connection) - connection.out.size());
+  while (!link.queue.empty() && connection.writing.size() < room) {
+    core::AttemptKey key = link.queue.front();
+    auto found = live_.find(key);
+    if (found == live_.end()) {
+      link.queue.pop_front();
+      continue;
+    }
+    const core::AttemptOrder& order = found->second.order;
+    text += order.payload->statement.size();
+    bool first = connection.writing.empty();
+    if (!first && (text > kMostCallText || Ambiguous(connection, dialect_.Id(order)))) break;
+    link.queue.pop_front();
+    Enter(number, connection, key, found->second);
+  }
+  Flush(number, connection);
+}
+
+// An earlier attempt's answer under the same id could be taken for this one's: not on one connection.
+bool HolderLinks::Ambiguous(const Connection& connection, const std::string& id) const {
+  return std::ranges::find(connection.withdrawn, id) != connection.withdrawn.end() ||
+         std::ranges::any_of(connection.out, [&](const auto& one) { return one.first == id; });
+}
+
 // Guards against our own cap told as a holder's failure: what finds no room waits for it, those first that
 // have waited longest, as long as its query does.
 void HolderLinks::ServeStarved() {
@@ -279,8 +321,8 @@
   double holders = std::max<double>(limits_.holders, static_cast<double>(links_.size()));
   double spare = std::max(0.0, limits_.max_connections - kReplaced * holders);
   auto more = static_cast<double>(connections_.size()) - static_cast<double>(links_.size());
-  return !link.slow_connect && more < kSpread * spare && !Full() &&
-         link.connecting < static_cast<int>(link.queue.size());
+  auto calls = (static_cast<int>(link.queue.size()) + limits_.parts_per_call - 1) / limits_.parts_per_call;
+  return !link.slow_connect && more < kSpread * spare && !Full() && link.connecting < calls;
 }
 
 HolderLinks::Number HolderLinks::Pick(Link& link, const std::string& id) {
@@ -295,11 +337,8 @@
       if (connection.out.empty()) Drop(number, connection, core::Cause::kConnectionLost);
       continue;
     }
-    // An earlier attempt's answer under the same id could be taken for this one's: not on one connection.
-    bool ambiguous = std::ranges::find(connection.withdrawn, id) != connection.withdrawn.end() ||
-                     std::ranges::any_of(connection.out, [&](const auto& one) { return one.first == id; });
     bool full = static_cast<int>(connection.out.size()) >= limits_.streams_per_connection;
-    if (ambiguous || full || !connection.frame.empty()) continue;
+    if (Ambiguous(connection, id) || full || connection.Writes()) continue;
     if (best == 0 || connection.out.size() < least) best = number, least = connection.out.size();
   }
   if (best != 0 && least == 0) return best;
@@ -411,29 +450,28 @@
   return std::nullopt;
 }
 
-void HolderLinks::Write(Number number, Connection& connection, const core::AttemptKey& key,
+// Into the frame that is written next on it.
+void HolderLinks::Enter(Number number, Connection& connection, const core::AttemptKey& key,
                         Attempt& attempt) {
   Micros now = clock_.Now();
-  connection.frame = dialect_.Ask(attempt.order, connection.addr, attempt.order.wait_until_us - now);
   connection.written = 0;
-  connection.writing = key;
+  connection.writing.push_back(key);
   connection.write_until_us = now + kWriteWait;
   connection.used_us = now;
   connection.out.emplace_back(dialect_.Id(attempt.order), key);
   attempt.progress = core::Progress::kPartlyWritten;
   attempt.connection = number;
-  Flush(number, connection);
 }
 
 bool HolderLinks::Flush(Number number, Connection& connection) {
-  while (!connection.frame.empty() || !connection.control.empty()) {
-    if (connection.frame.empty()) {
+  while (connection.Writes() || !connection.control.empty()) {
+    if (!connection.Writes()) {
       connection.frame = std::move(connection.control.front());
       connection.control.pop_front();
       connection.written = 0;
       connection.write_until_us = clock_.Now() + kWriteWait;
     }
-    if (connection.writing && connection.written == 0 && Unsent(connection)) continue;
+    if (!connection.writing.empty() && connection.written == 0 && !Compose(connection)) continue;
     std::size_t sent = 0;
     Io got = WriteNow(connection.fd, std::string_view(connection.frame).substr(connection.written), sent);
     connection.written += sent;
@@ -444,37 +482,41 @@
     }
     if (connection.written < connection.frame.size()) continue;
     connection.frame.clear();
-    if (!connection.writing) continue;
-    auto found = live_.find(*connection.writing);
-    if (found != live_.end()) {
+    for (const core::AttemptKey& key : std::exchange(connection.writing, {})) {
+      auto found = live_.find(key);
+      if (found == live_.end()) continue;
       found->second.progress = core::Progress::kWhollyWritten;
       if (auto* group = figures_.Of(found->second.order.class_index)) group->sends.Add();
     }
-    connection.writing.reset();
   }
   if (connection.armed) Arm(number, connection, false);
   return true;
 }
 
-// Guards the first byte of a frame that had to wait for room: by now its client may have left, its time be
-// over or its holder drain.
-bool HolderLinks::Unsent(Connection& connection) {
-  core::AttemptKey key = *connection.writing;
-  auto found = live_.find(key);
-  std::optional<core::Cause> barred = core::Cause::kStale;
-  if (found != live_.end()) barred = Barred(found->second.order);
-  if (!barred) return false;
-  TakeBack(connection);
-  Finish(key, *barred);
-  return true;
+// Guards the first byte of a frame, also of one that had to wait for room: by now a client may have left, a
+// time be over or the holder drain. The frame is made of what may still go; false when nothing may.
+bool HolderLinks::Compose(Connection& connection) {
+  std::vector<const core::AttemptOrder*> orders;
+  for (const core::AttemptKey& key : std::vector<core::AttemptKey>(connection.writing)) {
+    auto found = live_.find(key);
+    std::optional<core::Cause> barred = core::Cause::kStale;
+    if (found != live_.end()) barred = Barred(found->second.order);
+    if (!barred) {
+      orders.push_back(&found->second.order);
+      continue;
+    }
+    TakeBack(connection, key);
+    Finish(key, *barred);
+  }
+  if (!orders.empty()) connection.frame = dialect_.Ask(orders, connection.addr, clock_.Now());
+  return !orders.empty();
 }
 
 // Nothing of the frame has been written: the attempt is as if it had never been on this connection.
-void HolderLinks::TakeBack(Connection& connection) {
-  core::AttemptKey key = *connection.writing;
+void HolderLinks::TakeBack(Connection& connection, const core::AttemptKey& key) {
   std::erase_if(connection.out, [&](const auto& one) { return one.second == key; });
-  connection.frame.clear();
-  connection.writing.reset();
+  std::erase(connection.writing, key);
+  if (connection.writing.empty()) connection.frame.clear();
   auto found = live_.find(key);
   if (found == live_.end()) return;
   found->second.progress = core::Progress::kNotConnected;
@@ -485,14 +527,15 @@
 // that goes to another. Answers that came before the end still count; a frame cut short ends with the
 // connection.
 bool HolderLinks::Broken(Number number, Connection& connection) {
-  auto found = connection.writing ? live_.find(*connection.writing) : live_.end();
-  if (found != live_.end() && connection.written == 0 && ++found->second.turns < kTurns) {
-    connection.link->queue.push_front(found->first);
-    TakeBack(connection);
+  std::vector<core::AttemptKey> writing = std::exchange(connection.writing, {});
+  for (auto key = writing.rbegin(); connection.written == 0 && key != writing.rend(); ++key) {
+    auto found = live_.find(*key);
+    if (found == live_.end() || ++found->second.turns >= kTurns) continue;
+    connection.link->queue.push_front(*key);
+    TakeBack(connection, *key);
   }
   connection.frame.clear();
   connection.control.clear();
-  connection.writing.reset();
   if (Receive(number, connection)) Drop(number, connection, core::Cause::kConnectionLost);
   return false;
 }
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -46,8 +47,9 @@
  public:
   virtual ~Dialect() = default;
   virtual std::string Id(const core::AttemptOrder& order) const = 0;
-  virtual std::string Ask(const core::AttemptOrder& order, const std::string& holder,
-                          Micros wait_us) const = 0;
+  // What asks for all of these at once; more than one only where LinkLimits::parts_per_call allows it.
+  virtual std::string Ask(std::span<const core::AttemptOrder* const> orders, const std::string& holder,
+                          Micros now_us) const = 0;
   // What gives up an attempt; empty: only closing its connection does.
   virtual std::string GiveUp(const std::string& id) const = 0;
   virtual std::unique_ptr<AnswerReader> Reader() const = 0;
@@ -57,6 +59,7 @@
   Micros connect_timeout_us = 250'000;
   Micros idle_close_us = 30'000'000;
   int streams_per_connection = 100;
+  int parts_per_call = 1;     // in one frame
   int max_connections = 128;  // of all links together
   int holders = 0;            // as many are known of
 };
@@ -73,6 +76,7 @@
   ~HolderLinks();
 
   void Start(core::AttemptOrder order) override;
+  void EndRound() override;
   void Withdraw(const core::AttemptKey& key, const core::ReplicaId& holder, core::Cause cause) override;
   void CloseIdle(const core::ReplicaId& holder) override;
   void ForgetGone() override;
@@ -84,7 +88,8 @@
 
   struct Link {
     core::ReplicaId holder;
-    std::deque<core::AttemptKey> queue;  // not on a connection yet
+    std::deque<core::AttemptKey> staged;  // of the round that is on
+    std::deque<core::AttemptKey> queue;   // not on a connection yet
     std::vector<Number> connections;
     int connecting = 0;         // of these, not up yet
     bool starved = false;       // it is among those that wait for room
@@ -103,13 +108,15 @@
     bool given_up = false;              // too many of those: it takes nothing new
     std::unique_ptr<AnswerReader> reader;
     std::string pending;  // read, and not a whole answer yet
-    // What is being written, of which attempt, and until when; then frames that give attempts up.
+    // What is being written, of which attempts, and until when; then frames that give attempts up. As long as
+    // nothing of it is written, the frame is made anew from `writing` before it is tried.
     std::string frame;
     std::size_t written = 0;
-    std::optional<core::AttemptKey> writing;
+    std::vector<core::AttemptKey> writing;
     Micros write_until_us = 0;
     std::deque<std::string> control;
     bool armed = false;  // told when it can be written again
+    bool Writes() const { return !frame.empty() || !writing.empty(); }
   };
   struct Attempt {
     core::AttemptOrder order;
@@ -129,6 +136,8 @@
   void Pump(Link& link);
   void ServeStarved();
   Number Pick(Link& link, const std::string& id);
+  bool Ambiguous(const Connection& connection, const std::string& id) const;
+  void TakeBatch(Link& link, Number number, Connection& connection);
   bool MayOpenAnother(const Link& link) const;
   enum class Begun { kYes, kNoRoom, kFailed };
   Begun Open(Link& link);
@@ -136,10 +145,10 @@
   bool MakeRoom();
   void CameUp(Number number, Connection& connection);
   void ConnectFailed(Number number, Connection& connection);
-  void Write(Number number, Connection& connection, const core::AttemptKey& key, Attempt& attempt);
+  void Enter(Number number, Connection& connection, const core::AttemptKey& key, Attempt& attempt);
   bool Flush(Number number, Connection& connection);
-  bool Unsent(Connection& connection);
-  void TakeBack(Connection& connection);
+  bool Compose(Connection& connection);
+  void TakeBack(Connection& connection, const core::AttemptKey& key);
   bool Broken(Number number, Connection& connection);
   bool Receive(Number number, Connection& connection);
   bool TakeAnswer(Connection& connection, HolderAnswer answer);
@@ -162,6 +171,7 @@
   Micros asleep_until_us_ = 0;  // the thread's, while it waits
   Micros sweep_us_ = 0;         // when it looks for what is overdue next
   std::map<core::ReplicaId, Link> links_;
+  std::vector<core::ReplicaId> staged_;                 // links with something of the round that is on
   std::unordered_map<Number, Connection> connections_;  // bounded by limits_.max_connections
   Number given_ = 0;
   std::deque<core::ReplicaId> starved_;       // links that found no room for a connection, in turn
--- a/src/opensearch/holders.cpp
+++ b/src/opensearch/holders.cpp
@@ -56,14 +56,16 @@
   return fmt::format("{}.{}", order.payload->call_id, order.shard);
 }
 
-std::string SearchDialect::Ask(const core::AttemptOrder& order, const std::string& holder,
-                               core::Micros wait_us) const {
+std::string SearchDialect::Ask(std::span<const core::AttemptOrder* const> orders, const std::string& holder,
+                               core::Micros now_us) const {
+  const core::AttemptOrder& order = *orders.front();  // one a call
   const core::Payload& payload = *order.payload;
   return fmt::format(
       "POST {}{}preference=_shards:{} HTTP/1.1\r\nHost: {}\r\nX-Opaque-Id: {}\r\nX-Budget: {:.3f}\r\n"
       "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
       payload.target, payload.target.find('?') == std::string::npos ? '?' : '&', order.shard, holder,
-      payload.call_id, static_cast<double>(wait_us) / 1e6, payload.statement.size(), payload.statement);
+      payload.call_id, static_cast<double>(order.wait_until_us - now_us) / 1e6, payload.statement.size(),
+      payload.statement);
 }
 
 std::unique_ptr<net::AnswerReader> SearchDialect::Reader() const { return std::make_unique<SearchReader>(); }
--- a/src/opensearch/holders.h
+++ b/src/opensearch/holders.h
@@ -14,8 +14,8 @@
 class SearchDialect : public net::Dialect {
  public:
   std::string Id(const core::AttemptOrder& order) const override;
-  std::string Ask(const core::AttemptOrder& order, const std::string& holder,
-                  core::Micros wait_us) const override;
+  std::string Ask(std::span<const core::AttemptOrder* const> orders, const std::string& holder,
+                  core::Micros now_us) const override;
   // A search is given up by closing its connection.
   std::string GiveUp(const std::string&) const override { return {}; }
   std::unique_ptr<net::AnswerReader> Reader() const override;
--- a/src/platform/frames.cpp
+++ b/src/platform/frames.cpp
@@ -108,12 +108,16 @@
   return fmt::format("{}.{}", order.payload->call_id, order.shard);
 }
 
-std::string FrameDialect::Ask(const core::AttemptOrder& order, const std::string&,
-                              core::Micros wait_us) const {
-  std::string list = fmt::format("d={}", std::max<core::Micros>(1, wait_us / 1000));
-  if (!order.payload->dedup_key.empty()) list += ",k=" + order.payload->dedup_key;
-  const std::string& text = order.payload->statement;
-  return Frame('q', fmt::format("{} {} {} {}\n{}", Id(order), order.shard, list, text.size(), text));
+std::string FrameDialect::Ask(std::span<const core::AttemptOrder* const> orders, const std::string&,
+                              core::Micros now_us) const {
+  std::string all;
+  for (const core::AttemptOrder* order : orders) {
+    std::string list = fmt::format("d={}", std::max<core::Micros>(1, (order->wait_until_us - now_us) / 1000));
+    if (!order->payload->dedup_key.empty()) list += ",k=" + order->payload->dedup_key;
+    const std::string& text = order->payload->statement;
+    all += fmt::format("{} {} {} {}\n{}", Id(*order), order->shard, list, text.size(), text);
+  }
+  return Frame('q', all);
 }
 
 std::string FrameDialect::GiveUp(const std::string& id) const { return Frame('c', id); }
--- a/src/platform/frames.h
+++ b/src/platform/frames.h
@@ -14,8 +14,8 @@
   explicit FrameDialect(std::vector<std::string> load_names) : load_names_(std::move(load_names)) {}
 
   std::string Id(const core::AttemptOrder& order) const override;
-  std::string Ask(const core::AttemptOrder& order, const std::string& holder,
-                  core::Micros wait_us) const override;
+  std::string Ask(std::span<const core::AttemptOrder* const> orders, const std::string& holder,
+                  core::Micros now_us) const override;
   std::string GiveUp(const std::string& id) const override;
   std::unique_ptr<net::AnswerReader> Reader() const override;
 
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -184,6 +184,30 @@
   }
 }
 
+TEST_CASE("the parts of one round for one holder share calls, and what has left by then is in none") {
+  net::LinkLimits limits;
+  limits.parts_per_call = 3;
+  LinksUnderTest all(1, limits);
+  all.ends_round = false;
+  auto client = std::make_shared<core::Presence>();
+  all.Send(0);
+  all.Send(0, client);
+  all.Send(0);
+  client->Leave();
+  all.links->EndRound();
+  net::Fd holder = all.Take(0);
+  auto line = [](int part) { return "q." + std::to_string(part) + " " + std::to_string(part) + " d="; };
+  std::size_t size = static_cast<unsigned char>(all.got[0]);
+  REQUIRE(all.got.size() == size + 4);  // one frame
+  CHECK(all.got.find(line(1)) != std::string::npos);
+  CHECK(all.got.find(line(2)) == std::string::npos);
+  CHECK(all.got.find(line(3)) != std::string::npos);
+  CHECK(all.Ended(0).cause == Cause::kLeft);
+  net::WriteAll(holder, Served(3) + Served(1), kPatience);
+  CHECK(all.Ended(1).cause == Cause::kServed);
+  CHECK(all.Ended(2).cause == Cause::kServed);
+}
+
 TEST_CASE("who stands in the backlog when the listener closes is answered") {
   Serving one;
   one.handler.HoldDoor();
--- a/tests/links.h
+++ b/tests/links.h
@@ -40,11 +40,12 @@
     order.wait_until_us = clock.Now() + 60'000'000;
     order.payload = std::make_shared<core::Payload>(core::Payload{"q", "", "text", "", std::move(client)});
     links->Start(std::move(order));
+    if (ends_round) links->EndRound();
   }
   // The holder's newest connection, once a frame has come on it.
   net::Fd Take(int holder) {
     net::Fd fd = net::Accept(listeners[static_cast<std::size_t>(holder)], 10'000'000);
-    std::string got;
+    got.clear();
     REQUIRE(net::ReadSome(fd, got, 10'000'000) == net::Io::kOk);
     return fd;
   }
@@ -58,6 +59,7 @@
     return results.size();
   }
 
+  std::string got;  // by the last Take
   std::vector<net::Fd> listeners;
   core::Directory directory;
   std::optional<tinsail::ListNews> news;
@@ -70,6 +72,7 @@
   std::condition_variable wake;
   std::vector<core::AttemptResult> results;
   core::Id parts = 0;
+  bool ends_round = true;  // each part goes in a round of its own
   std::optional<net::HolderLinks> links;
 };
 
