Where no second copy is allowed, a part that was called off goes nowhere else

Wrong: HolderLinks::Withdraw told the module at once that such an attempt had ended; where `secondCopies` is false the module calls off first and sends elsewhere when that is confirmed (Review and JudgeSilence, rules.cpp), and nothing had confirmed it.

Change: Core::Act(Cancel) asks for HolderTransport::CallOff there: the word goes to the holder, and the attempt ends with its answer, which counts, with its connection, with its query or its time. The module is as it was, and so is all where second copies are allowed.

--- a/bench/why_cost.cpp
+++ b/bench/why_cost.cpp
@@ -55,6 +55,7 @@
     core_.Post(core::AttemptResult{order.key, core::Progress::kAnswering, core::Cause::kServed, {}, "v"});
   }
   void Withdraw(const core::AttemptKey&, const core::ReplicaId&, core::Cause) override {}
+  void CallOff(const core::AttemptKey&) override {}
   void CloseIdle(const core::ReplicaId&) override {}
   void ForgetGone() override {}
 
--- a/src/core/ports.h
+++ b/src/core/ports.h
@@ -121,6 +121,8 @@
   virtual void Start(AttemptOrder order) = 0;
   virtual void EndRound() = 0;
   virtual void Withdraw(const AttemptKey& key, const ReplicaId& holder, Cause cause) = 0;
+  // Its holder is asked to give it up; it ends as soon as that is known, or as if it had not been asked.
+  virtual void CallOff(const AttemptKey& key) = 0;
   virtual void CloseIdle(const ReplicaId& holder) = 0;
   // Lets go of what is kept for holders that take nothing new and have nothing out.
   virtual void ForgetGone() = 0;
--- a/src/core/route.cpp
+++ b/src/core/route.cpp
@@ -27,7 +27,12 @@
   if (part == nullptr || index >= part->attempts.size() || !part->attempts[index].out) return;
   if (recorder_ != nullptr)
     recorder_->Cancelled(part->query, static_cast<int>(cancel.part - part->query - 1), cancel);
-  transport_->Withdraw({cancel.part, cancel.attempt}, part->attempts[index].holder, Cause::kWithdrawn);
+  // Guards against a second copy where none is allowed: what the module sends elsewhere when this has ended
+  // must wait until its holder is known to be done with it. A query that is over sends nothing more.
+  bool moves = cancel.why == tinsail::CancelWhy::kLooksSick || cancel.why == tinsail::CancelWhy::kDeadConnection;
+  core::AttemptKey key{cancel.part, cancel.attempt};
+  if (moves && !settings_.may_copy) return transport_->CallOff(key);
+  transport_->Withdraw(key, part->attempts[index].holder, Cause::kWithdrawn);
 }
 
 void Core::Act(const tinsail::Close& close) {
--- a/src/net/holder_links.cpp
+++ b/src/net/holder_links.cpp
@@ -85,6 +85,10 @@
 // The attempt ends now, whatever its holder is at: an attempt's end waits for no socket.
 void HolderLinks::Withdraw(const core::AttemptKey& key, const core::ReplicaId&, core::Cause cause) {
   std::lock_guard lock(mutex_);
+  TakeOut(key, cause);
+}
+
+void HolderLinks::TakeOut(const core::AttemptKey& key, core::Cause cause) {
   auto found = live_.find(key);
   if (found == live_.end()) return;
   auto place = connections_.find(found->second.connection);
@@ -99,12 +103,10 @@
     connection.withdrawn.push_back(id);
     connection.given_up = connection.withdrawn.size() >= kMostWithdrawn;
     std::erase_if(connection.out, [&](const auto& one) { return one.second == key; });
-    std::string frame = dialect_.GiveUp(id);
-    if (frame.empty()) {
+    if (dialect_.GiveUp(id).empty()) {
       if (connection.out.empty()) Drop(place->first, connection, core::Cause::kConnectionLost);
-    } else if (cause == core::Cause::kWithdrawn) {
-      connection.control.push_back(std::move(frame));
-      if (!connection.Writes()) Flush(place->first, connection);
+    } else if (cause == core::Cause::kWithdrawn && !found->second.called_off) {
+      GiveUp(place->first, connection, id);
     }
     Pump(link);
   }
@@ -112,6 +114,29 @@
   ServeStarved();
 }
 
+// Nothing is known of a holder that does not read, and a word sent to it may never come: the attempt goes on
+// until it is answered, its connection ends or its time is over. Before its first byte it is as if never sent.
+void HolderLinks::CallOff(const core::AttemptKey& key) {
+  std::lock_guard lock(mutex_);
+  auto found = live_.find(key);
+  if (found == live_.end() || found->second.called_off) return;
+  Attempt& attempt = found->second;
+  auto place = connections_.find(attempt.connection);
+  bool begun = place != connections_.end() &&
+               (place->second.written > 0 ||
+                std::ranges::find(place->second.writing, key) == place->second.writing.end());
+  if (!begun) return TakeOut(key, core::Cause::kWithdrawn);
+  attempt.called_off = true;
+  std::string id = dialect_.Id(attempt.order);
+  if (!dialect_.GiveUp(id).empty()) GiveUp(place->first, place->second, id);
+}
+
+// Behind a frame that is being written. It may end the connection.
+void HolderLinks::GiveUp(Number number, Connection& connection, const std::string& id) {
+  connection.control.push_back(dialect_.GiveUp(id));
+  if (!connection.Writes()) Flush(number, connection);
+}
+
 void HolderLinks::CloseIdle(const core::ReplicaId& holder) {
   std::lock_guard lock(mutex_);
   auto link = links_.find(holder);
--- a/src/net/holder_links.h
+++ b/src/net/holder_links.h
@@ -78,6 +78,7 @@
   void Start(core::AttemptOrder order) override;
   void EndRound() override;
   void Withdraw(const core::AttemptKey& key, const core::ReplicaId& holder, core::Cause cause) override;
+  void CallOff(const core::AttemptKey& key) override;
   void CloseIdle(const core::ReplicaId& holder) override;
   void ForgetGone() override;
   // The list has grown or shrunk, and with it what both sides may hold.
@@ -123,7 +124,8 @@
     core::Progress progress = core::Progress::kNotConnected;
     Number connection = 0;
     Micros queued_us = 0;
-    int turns = 0;  // connections that broke before its first byte
+    int turns = 0;            // connections that broke before its first byte
+    bool called_off = false;  // its holder has been told
   };
 
   // The links' own thread.
@@ -132,6 +134,7 @@
   Micros Sweep(Micros now);
   void Wake();
 
+  void TakeOut(const core::AttemptKey& key, core::Cause cause);
   // These hold the lock. Those that return a bool say whether the connection is still there.
   void Pump(Link& link);
   void ServeStarved();
@@ -156,6 +159,7 @@
   void Arm(Number number, Connection& connection, bool writes);
   std::optional<core::Cause> Barred(const core::AttemptOrder& order) const;
   bool OutOfUse(const Connection& connection, const std::string& addr, Micros now) const;
+  void GiveUp(Number number, Connection& connection, const std::string& id);
   void Finish(const core::AttemptKey& key, core::Cause cause, HolderAnswer answer = {});
 
   const Dialect& dialect_;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -208,6 +208,34 @@
   CHECK(all.Ended(2).cause == Cause::kServed);
 }
 
+TEST_CASE("a part that is called off ends when its holder has answered it or its connection has ended") {
+  LinksUnderTest all(1, {});
+  all.Send(0);
+  net::Fd holder = all.Take(0);
+  all.links->CallOff({1, 0});
+  all.links->CallOff({1, 0});
+  std::string word;
+  REQUIRE(net::ReadSome(holder, word, kPatience) == net::Io::kOk);
+  CHECK(word == std::string{4, 0, 0, 0} + "cq.1");  // once
+  CHECK(all.Results() == 0);
+  SECTION("answered") {
+    net::WriteAll(holder, Served(1), kPatience);
+    CHECK(all.Ended(0).cause == Cause::kServed);
+  }
+  SECTION("reset") {
+    holder = {};
+    CHECK(all.Ended(0).cause == Cause::kConnectionLost);
+  }
+  SECTION("its query is over") {
+    all.links->Withdraw({1, 0}, all.news->replicas[0].id, Cause::kWithdrawn);
+    CHECK(all.Ended(0).cause == Cause::kWithdrawn);
+    all.links.reset();
+    word.clear();
+    CHECK(net::ReadSome(holder, word, kPatience) == net::Io::kEnd);
+    CHECK(word.empty());
+  }
+}
+
 TEST_CASE("who stands in the backlog when the listener closes is answered") {
   Serving one;
   one.handler.HoldDoor();
