--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -186,9 +186,8 @@
       : s(settings), valid(!CheckSettings(settings)), random_state(seed) {
     if (!valid) return;
     least_aim_us = static_cast<double>(s.classes[0].aim_us);
-    for (const ClassSettings& c : s.classes) {
+    for (const ClassSettings& c : s.classes)
       least_aim_us = std::min(least_aim_us, static_cast<double>(c.aim_us) / (c.fetch_parts > 0 ? 2 : 1));
-    }
     copy_span_us = static_cast<Micros>(2 * least_aim_us);
     answer_margin_us =
         static_cast<Micros>(kTicksToAnswer * static_cast<double>(std::max<Micros>(s.resolution_us, 1)));
@@ -558,9 +557,8 @@
 
   bool Admit(const Query& query, double hottest, EndWhy& why) {
     double least = 1e300;
-    for (std::size_t c = 0; c < s.classes.size(); ++c) {
+    for (std::size_t c = 0; c < s.classes.size(); ++c)
       if (class_parts[c] > 0) least = std::min(least, Density(c));
-    }
     why = Because(EndCause::kNoWorth, query.worth_factor, 0);
     if (query.worth_factor <= 0) return false;
     double hot = std::clamp((hottest - kHotFrom) / (kHotFull - kHotFrom), 0.0, 1.0);
@@ -796,8 +794,7 @@
     }
     part.held = HeldWhy::kNone;
     if (more) further.push_back(now);
-    if (!more) query.newest_us = now;
-    if (!more) ++query.sent;
+    if (!more) query.newest_us = now, ++query.sent;
     if (copy && !suspect) copies.push_back(now);
     UseConnection(*server);
     if (!server->sick && Warmth(*server) >= 1 && warm_weight > 0) warm_sent += 1 / warm_weight;
@@ -949,13 +946,9 @@
   // Given up: told at once, with the time to come back. A refusal promises that nothing ran.
   void GiveUp(Query& query, const EndWhy& why) {
     const ClassSettings& cls = s.classes[query.class_index];
-    bool harmless = true;
-    if (cls.effect == Effect::kAtMostOnce) {
-      for (Id id : query.parts) {
-        for (const Attempt& attempt : parts.at(id).attempts) harmless = harmless && attempt.never_ran;
-      }
-      harmless = harmless && query.step == 1;
-    }
+    auto unrun = [&](Id id) { return std::ranges::all_of(parts.at(id).attempts, &Attempt::never_ran); };
+    bool once = cls.effect == Effect::kAtMostOnce;
+    bool harmless = !once || (query.step == 1 && std::ranges::all_of(query.parts, unrun));
     if (harmless && now < query.deadline_us) {
       auto wait = static_cast<Micros>(least_aim_us * (kRetryAfter + refusal));
       out->push_back(Refuse{query.id, s.may_retry_after ? std::min(s.max_retry_after_us, wait) : 0, why});
@@ -1008,12 +1001,10 @@
     }
     if (!valid) return;
     UpdateView();
-    for (auto& [id, query] : queries) {
+    for (auto& [id, query] : queries)
       if (!query.dispatched && !query.parts.empty()) Dispatch(query);
-    }
-    for (auto& [id, query] : queries) {
+    for (auto& [id, query] : queries)
       if (!ended.contains(id)) Review(query);
-    }
     for (Id id : ended) queries.erase(id);
     ended.clear();
     Trim(taken, std::max(s.resend_span_us, copy_span_us));
