--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,7 +38,10 @@
 constexpr double kCopyQuantile = 0.95;  // a part out longer than this share of parts took gets a copy
 constexpr double kSickCopy = 1.5;       // on a sick replica: out for this many medians is enough
 constexpr double kCopyPressure = 0.6;   // above this pressure only parts on sick replicas are copied
-constexpr double kCopyShare = 0.10;     // copies per part taken, lest copies feed an overload
+constexpr double kCopyShare = 0.10;  // copies per part taken, lest copies feed an overload: as long as they
+constexpr double kCopyWins = 0.9;    // come in first in this share of cases, and next to none below the
+constexpr double kCopyLoses = 0.5;   // other, when slow parts are work that waits, and a copy adds to it
+constexpr double kCopyMemory = 0.9, kCopyPrior = 2;  // what an older copy counts; ones assumed to have won
 constexpr double kMostIn = 0.8;     // with this share of a query's parts in, the others are stragglers after
 constexpr double kStraggler = 1.4;  // this multiple of what those took, when no more than so many
 constexpr double kStragglerLead = 2;        // 0.9 quantiles are left to the aim: copied up to this pressure,
@@ -730,7 +733,9 @@
     if (!copy) return true;
     Trim(copies, copy_span_us);
     auto from = std::lower_bound(taken.begin(), taken.end(), now - copy_span_us);
-    return static_cast<double>(copies.size()) < 1 + kCopyShare * static_cast<double>(taken.end() - from);
+    double won = (copies_won + kCopyPrior) / (copies_sent + kCopyPrior);
+    double share = kCopyShare * std::clamp((won - kCopyLoses) / (kCopyWins - kCopyLoses), 0.0, 1.0);
+    return static_cast<double>(copies.size()) < 1 + share * static_cast<double>(taken.end() - from);
   }
 
   // Guard of the second rule: may this part be sent once more?
@@ -794,6 +799,7 @@
     }
     part.held = HeldWhy::kNone;
     if (more) further.push_back(now);
+    if (copy) copies_sent = kCopyMemory * copies_sent + 1, copies_won *= kCopyMemory;
     if (!more) query.newest_us = now, ++query.sent;
     if (copy && !suspect) copies.push_back(now);
     UseConnection(*server);
@@ -834,6 +840,7 @@
     if (attempt.lost) ++query->second.losses;
     if (ended.code != OutcomeCode::kOk || part.in) return;
     part.in = true;
+    if (ended.attempt > 0 && part.Out() > 0) ++copies_won;
     query->second.vouched = true;
     if (++query->second.in >= kMostIn * query->second.sent && query->second.most_in_us == 0)
       query->second.most_in_us = now;
@@ -1043,6 +1050,7 @@
   double proven_us = 0;     // the longest time that one was unused and lived, of late
   double losses = 0;        // replicas lost unannounced of late
   double fleet_errors = 0;  // recent share of failed outcomes, of all replicas
+  double copies_sent = 0, copies_won = 0;  // of late
   bool timer_set = false;
   double query_gap_us = 0;  // usual time between queries of this instance; when the newest came:
   Micros query_us = 0;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -878,6 +878,35 @@
   EXPECT_NE(bench.Where(100, 1), hung);
 }
 
+// yogya-main's burst: replicas whose parts were slow since they had much to do got copies on top, were slow
+// for the next ones too, and stayed so long after the burst.
+TEST(Copies, GetFewWhereTheFirstAttemptsAnswerAllTheSame) {
+  auto copied = [](bool wins) {
+    Settings s = BaseSettings();
+    s.cells = s.reach = s.shards = 20;
+    Bench bench(s);
+    bench.Calm(60);
+    int copies = 0;
+    for (int round = 0; round < 30; ++round) {
+      Id slow = bench.next_id * 100;
+      for (int i = 0; i < 10; ++i) bench.Ask(bench.next_id++, kWhole, {0.25, 0.25, 0.25, 0.25});
+      bench.now += 100 * kMs;
+      auto out = bench.out;
+      for (const auto& [key, value] : out) {
+        if (key.first != slow) bench.End(key.first, key.second);
+      }
+      for (int i = 0; i < 30 && bench.Sends(slow) < 2; ++i) bench.Tick(5 * kMs);
+      bool copy = bench.Sends(slow) > 1;
+      copies += copy ? 1 : 0;
+      bench.End(slow, copy && wins ? 1 : 0);
+      if (copy) bench.End(slow, wins ? 0 : 1, OutcomeCode::kCancelled);
+    }
+    return copies;
+  };
+  EXPECT_GE(copied(true), 25);
+  EXPECT_LE(copied(false), 10);
+}
+
 // catania, recife: what goes to one replica in one round is one call.
 TEST(Replica, LoadIsCountedByCall) {
   Settings s = BaseSettings();
