A watch lives by lists and beats, and a beat ends the growth of its wait

Ruled out: a head that never comes (no life before it now, 3 s as before); a large list cut at any byte (a list that is whole counts although the next one has begun).

Change: what ends outside a list, a whole list or a beat, is life and success.

--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -105,17 +105,24 @@
     settled = settled || asked;
     if (got == net::Io::kTimeout) continue;
     if (got != net::Io::kOk) return;
-    heard_us = clock_.Now();
     net::HttpParser::State state = parser.Feed(pending);
     if (state == net::HttpParser::State::kBad) throw std::runtime_error("the watch is not HTTP");
     net::HttpMessage& message = parser.message();
     if (message.status != 0 && message.status != 200) throw std::runtime_error("the watch was turned down");
     // What came is cut by its structure, not by lines: a list may stand on many.
+    bool told = false;
     bool usable = lists.Feed(message.body, [&](std::string_view list) {
       TakeList(list);
-      Answered(address);
+      told = true;
     });
     if (!usable) throw std::runtime_error("the watch is no stream of lists: " + lists.error());
+    // A sign of life is a list or a beat, which is an empty line between lists. Guards against bytes that go
+    // on for ever and never make up a list, and against a wait that still grows with losses long mended:
+    // where nothing changes a watch has no list to tell.
+    if (told || (!message.body.empty() && !lists.open())) {
+      heard_us = clock_.Now();
+      Answered(address);
+    }
     message.body.clear();
     if (state == net::HttpParser::State::kDone && lists.open())
       throw std::runtime_error("it ended in a list");
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -10,6 +10,7 @@
 
 #include "links.h"
 #include "net/server.h"
+#include "platform/discovery.h"
 
 using namespace liftrudder;
 using core::Cause;
@@ -236,6 +237,35 @@
   }
 }
 
+TEST_CASE("a watch on which bytes come that never make up a list is left for another one") {
+  net::Fd listener = net::Listen("127.0.0.1:0");
+  config::Config config;
+  config.discovery = net::LocalAddress(listener);
+  config.settings.cells = 1;
+  net::SteadyClock clock;
+  core::Directory directory;
+  metrics::Counters counters;
+  core::Core core(config.settings, 1, clock, directory, counters);
+  platform::DiscoveryWatch watch(config, directory, core, clock);
+  auto take = [&] {
+    net::Fd fd = net::Accept(listener, kPatience);
+    std::string ask;
+    REQUIRE(net::ReadSome(fd, ask, kPatience) == net::Io::kOk);
+    return fd;
+  };
+  net::Fd first = take();
+  net::WriteAll(first, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{\"\r\n", kPatience);
+  std::string end;
+  net::Io state = net::Io::kTimeout;
+  net::Micros until = clock.Now() + kPatience;
+  while (state == net::Io::kTimeout && clock.Now() < until) {
+    net::WriteAll(first, "1\r\nv\r\n", kPatience);
+    state = net::ReadSome(first, end, 20'000);
+  }
+  CHECK(state != net::Io::kTimeout);
+  take();
+}
+
 TEST_CASE("who stands in the backlog when the listener closes is answered") {
   Serving one;
   one.handler.HoldDoor();
