--- a/review/support/run_case.sh
+++ b/review/support/run_case.sh
@@ -12,7 +12,10 @@
   echo "cannot run: build the program and review/build.sh first" >&2
   exit 2
 fi
-timeout --foreground -k 5 110 "$driver" "$case_folder/record.txt"
+timeout --foreground -k 5 110 "$driver" "$case_folder/record.txt" &
+running=$!
+trap 'kill "$running" 2>/dev/null; wait "$running"; exit 2' TERM INT HUP
+wait "$running"
 code=$?
 case $code in
   0 | 1) exit $code ;;
