Close an endpoint connection that has bytes behind a response

Cause: SearchResponseReader::Decode (src/opensearch/endpoint_protocol.cpp) took one response and reported success with bytes left in the receive buffer. No request was in flight then, so RequestDispatcher used the connection for the next request, and the bytes left over were decoded as its response.

Change: bytes behind a response make the connection unusable; the response is served and the connection closed at once. This works because the bytes that could be taken for another response are dropped before a request can be written after them.

--- a/src/opensearch/endpoint_protocol.cpp
+++ b/src/opensearch/endpoint_protocol.cpp
@@ -20,7 +20,9 @@
         out.push_back({oldest, coordinator::Cause::kEndpointError, {}, {}});
         return false;
       case net::HttpParser::State::kDone:
-        return Finish(oldest, out);
+        // With one request at a time, bytes behind the response belong to no request. The next request on
+        // this connection would get them as its response.
+        return Finish(oldest, out) && in.empty();
       default:
         return true;
     }
--- /dev/null
+++ b/tests/opensearch/endpoint_protocol_test.cpp
@@ -0,0 +1,54 @@
+// The search API's protocol to endpoints, on its own and with the connection pool over loopback.
+#include "opensearch/endpoint_protocol.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/connection_pool_fixture.h"
+
+using namespace liftrudder;
+using coordinator::Cause;
+using tests::ConnectionPoolFixture;
+
+namespace {
+
+constexpr net::Micros kTestTimeoutUs = 20'000'000;
+
+std::string BodyWithHit(const std::string& id) { return R"({"hits":{"hits":[{"_id":")" + id + R"("}]}})"; }
+
+std::string ResponseWithHit(const std::string& id) {
+  std::string body = BodyWithHit(id);
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A pool with one endpoint of the search API.
+struct SearchFixture : ConnectionPoolFixture {
+  SearchFixture()
+      : ConnectionPoolFixture(1, OneRequestAtATime(), std::make_unique<opensearch::SearchProtocol>()) {}
+
+  static net::ConnectionLimits OneRequestAtATime() {
+    net::ConnectionLimits limits;
+    limits.streams_per_connection = 1;
+    return limits;
+  }
+};
+
+}  // namespace
+
+// Guards against serving a second copy of a response to the next search on its connection.
+TEST_CASE("a connection with bytes behind a response takes no further search") {
+  SearchFixture fixture;
+  fixture.Send(0);
+  net::Fd first = fixture.AcceptAndRead(0);
+  std::string behind = GENERATE(ResponseWithHit("piano"), std::string("HTTP/1.1 2"), std::string("\0", 1));
+  net::WriteAll(first, ResponseWithHit("piano") + behind, kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(0).cause == Cause::kServed);
+  CHECK(fixture.WaitForResult(0).value == BodyWithHit("piano"));
+  fixture.Send(0);
+  net::Fd second = fixture.AcceptAndRead(0);
+  net::WriteAll(second, ResponseWithHit("violin"), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(1).value == BodyWithHit("violin"));
+  CHECK(fixture.counters.malformed_responses.Value() == 1);
+}
--- a/tests/support/connection_pool_fixture.h
+++ b/tests/support/connection_pool_fixture.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "coordinator/endpoint_registry.h"
@@ -20,14 +21,17 @@
 // A pool for `endpoints` listening endpoints, and the results of its attempts.
 class ConnectionPoolFixture {
  public:
-  ConnectionPoolFixture(int endpoints, const net::ConnectionLimits& limits) : protocol(load_names) {
+  ConnectionPoolFixture(int endpoints, const net::ConnectionLimits& limits,
+                        std::unique_ptr<net::EndpointProtocol> endpoint_protocol =
+                            std::make_unique<platform::FrameProtocol>(std::vector<std::string>{}))
+      : protocol(std::move(endpoint_protocol)) {
     coordinator::EndpointList list{1, liftrudder::routing::EndpointListKind::kFull, {}};
     for (int i = 0; i < endpoints; ++i) {
       listeners.push_back(net::Listen("127.0.0.1:0"));
       list.entries.push_back({"h" + std::to_string(i), net::LocalAddress(listeners.back()), {}});
     }
     update = endpoint_registry.Apply(list, 1);
-    pool.emplace(protocol, endpoint_registry, clock, limits, counters, figures,
+    pool.emplace(*protocol, endpoint_registry, clock, limits, counters, figures,
                  [this](coordinator::AttemptResult result) {
                    std::lock_guard lock(mutex);
                    results.push_back(std::move(result));
@@ -42,7 +46,7 @@
     request.shard = static_cast<int>(shard_requests);
     request.attempt_deadline_us = clock.Now() + 60'000'000;
     request.payload =
-        std::make_shared<coordinator::Payload>(coordinator::Payload{"q", "", "text", "", std::move(client)});
+        std::make_shared<coordinator::Payload>(coordinator::Payload{"q", "", "text", "/", std::move(client)});
     pool->Start(std::move(request));
     if (end_round_after_send) pool->EndRound();
   }
@@ -71,8 +75,7 @@
   net::SteadyClock clock;
   metrics::Counters counters;
   metrics::OperatorFigures figures{{"search"}};
-  const std::vector<std::string> load_names;
-  platform::FrameProtocol protocol;
+  std::unique_ptr<net::EndpointProtocol> protocol;
   std::mutex mutex;  // guards `results`
   std::condition_variable result_added;
   std::vector<coordinator::AttemptResult> results;
