Tell an announced close and unrequested bytes from a malformed response

Need: the counters could not say whether a connection was closed for unreadable bytes, for bytes that answer no request, or because its endpoint announced it: SearchResponseReader answered a plain 'false' for all three. So a response with 'Connection: close' counted in connections_spoilt.

Change: ResponseReader::Decode returns a DecodeStatus. A last response closes its connection without counting. The new counter connections_unrequested tells the connections of connections_spoilt whose bytes answered no request; it is printed after all others. The fixture of counter names is never rewritten, so names that are new stand in a file beside it, and the test wants both lists, in order and nothing else: as strict as before.

--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -35,6 +35,8 @@
   line(wire_names::kConnectionsMalformed, malformed_responses);
   line(wire_names::kRounds, rounds);
   line(wire_names::kEndpointLists, endpoint_lists);
+  // Newer counters follow, as operators' tools may rely on the order.
+  line(wire_names::kConnectionsUnrequested, unrequested_responses);
   return text;
 }
 
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -46,7 +46,8 @@
   // Connections to endpoints.
   Counter connections_opened;
   Counter connections_failed;
-  Counter malformed_responses;  // connections closed because of an unreadable response
+  Counter malformed_responses;    // connections closed because of an unusable response
+  Counter unrequested_responses;  // of these: because of bytes that answer no request in flight
 
   Counter rounds;          // decision rounds
   Counter endpoint_lists;  // endpoint lists received, full ones and deltas
--- a/src/metrics/wire_names.h
+++ b/src/metrics/wire_names.h
@@ -29,6 +29,7 @@
 inline constexpr const char* kConnectionsMalformed = "connections_spoilt";
 inline constexpr const char* kRounds = "rounds";
 inline constexpr const char* kEndpointLists = "lists_told";
+inline constexpr const char* kConnectionsUnrequested = "connections_unrequested";
 
 // OperatorFigures::Text; the figures by class carry the label kClassLabel.
 inline constexpr const char* kClassLabel = "group";
--- a/src/net/endpoint_connection_io.cpp
+++ b/src/net/endpoint_connection_io.cpp
@@ -168,11 +168,9 @@
     if (status == IoStatus::kTimeout) return true;
     // A short read has emptied the socket's buffer: another read would only return kTimeout.
     bool drained = status == IoStatus::kOk && connection.received.size() - size_before < kReadBytes;
-    // After a protocol violation nothing on this connection can be trusted, and every request in flight on it
-    // may have run.
-    if (!Decode(connection, status)) {
-      counters_.malformed_responses.Add();
-      connections_.Close(id, connection, coordinator::Cause::kInvalidResponse);
+    DecodeStatus decoded = Decode(connection, status);
+    if (decoded != DecodeStatus::kOk) {
+      CloseAfter(decoded, id, connection);
       return false;
     }
     if (status != IoStatus::kOk) {
@@ -184,28 +182,37 @@
   return true;
 }
 
-// Decodes the received bytes and ends the attempts that they answer. Returns false on a protocol violation.
-bool EndpointConnectionIo::Decode(EndpointConnection& connection, IoStatus read_status) {
+// Closes the connection for a reason other than kOk. After a violation every request in flight may have run.
+void EndpointConnectionIo::CloseAfter(DecodeStatus status, ConnectionId id, EndpointConnection& connection) {
+  bool violation = IsViolation(status);
+  if (violation) counters_.malformed_responses.Add();
+  if (status == DecodeStatus::kUnrequested) counters_.unrequested_responses.Add();
+  connections_.Close(id, connection,
+                     violation ? coordinator::Cause::kInvalidResponse : coordinator::Cause::kConnectionLost);
+}
+
+// Decodes the received bytes and ends the attempts that they answer.
+DecodeStatus EndpointConnectionIo::Decode(EndpointConnection& connection, IoStatus read_status) {
   std::string oldest = connection.in_flight.empty() ? std::string() : connection.in_flight.front().id;
   std::vector<EndpointResponse> responses;
-  bool valid = true;
+  DecodeStatus status = DecodeStatus::kOk;
   try {
     if (read_status == IoStatus::kOk) {
-      valid = connection.reader->Decode(connection.received, oldest, responses) &&
-              connection.received.size() <= kMaxIncompleteResponseBytes;
+      status = connection.reader->Decode(connection.received, oldest, responses);
+      if (connection.received.size() > kMaxIncompleteResponseBytes) status = DecodeStatus::kMalformed;
     }
     if (read_status == IoStatus::kEnd) connection.reader->End(oldest, responses);
   } catch (const std::exception& error) {
     log::Error("error while decoding a response from endpoint {}, closing its connection: {}",
                connection.addr, error.what());
-    valid = false;
+    status = DecodeStatus::kMalformed;
   }
   if (read_status == IoStatus::kOk) connection.last_received_us = clock_.Now();
   for (EndpointResponse& response : responses) {
-    bool expected = Complete(connection, std::move(response));
-    valid = valid && expected;
+    bool requested = Complete(connection, std::move(response));
+    if (!requested) status = DecodeStatus::kUnrequested;
   }
-  return valid;
+  return status;
 }
 
 // Ends the attempt that the response answers. Returns false if its id belongs to no request in flight or
--- a/src/net/endpoint_connection_io.h
+++ b/src/net/endpoint_connection_io.h
@@ -45,7 +45,8 @@
   bool EncodeFrame(EndpointConnection& connection);
   void FinishFrame(EndpointConnection& connection);
   void HandleWriteError(ConnectionId id, EndpointConnection& connection);
-  bool Decode(EndpointConnection& connection, IoStatus read_status);
+  DecodeStatus Decode(EndpointConnection& connection, IoStatus read_status);
+  void CloseAfter(DecodeStatus status, ConnectionId id, EndpointConnection& connection);
   bool Complete(EndpointConnection& connection, EndpointResponse response);
 
   const EndpointProtocol& protocol_;
--- a/src/net/endpoint_protocol.h
+++ b/src/net/endpoint_protocol.h
@@ -21,14 +21,28 @@
   std::string value;
 };
 
+// What the bytes received on a connection mean for its further use.
+enum class DecodeStatus {
+  kOk,            // it carries further requests
+  kLastResponse,  // the endpoint closes it after the response that was decoded
+  // Violations of the protocol: nothing else on the connection can be trusted.
+  kMalformed,    // the bytes are no response
+  kUnrequested,  // the bytes answer no request in flight, or follow the response to the only one
+};
+
+constexpr bool IsViolation(DecodeStatus status) {
+  return status != DecodeStatus::kOk && status != DecodeStatus::kLastResponse;
+}
+
 // Decodes the responses of one connection incrementally.
 class ResponseReader {
  public:
   virtual ~ResponseReader() = default;
-  // Removes complete responses from the front of `in` and appends them to `out`. Returns false when the bytes
-  // violate the protocol. `oldest` is the id of the attempt longest in flight on this connection, for
-  // protocols whose responses carry no id; empty when none is in flight.
-  virtual bool Decode(std::string& in, const std::string& oldest, std::vector<EndpointResponse>& out) = 0;
+  // Removes complete responses from the front of `in` and appends them to `out`, those before a violation
+  // included. `oldest` is the id of the attempt longest in flight on this connection, for protocols whose
+  // responses carry no id; empty when none is in flight.
+  virtual DecodeStatus Decode(std::string& in, const std::string& oldest,
+                              std::vector<EndpointResponse>& out) = 0;
   // Called when the endpoint has closed the connection: appends the response that this completes, if any.
   virtual void End(const std::string& /*oldest*/, std::vector<EndpointResponse>& /*out*/) {}
 };
--- a/src/opensearch/endpoint_protocol.cpp
+++ b/src/opensearch/endpoint_protocol.cpp
@@ -12,19 +12,22 @@
 
 class SearchResponseReader : public net::ResponseReader {
  public:
-  bool Decode(std::string& in, const std::string& oldest, std::vector<net::EndpointResponse>& out) override {
-    if (oldest.empty()) return false;  // a response without a request in flight
+  net::DecodeStatus Decode(std::string& in, const std::string& oldest,
+                           std::vector<net::EndpointResponse>& out) override {
+    if (oldest.empty()) return net::DecodeStatus::kUnrequested;
     switch (parser_.Feed(in)) {
       case net::HttpParser::State::kBad:
         // A malformed response counts as the endpoint's error, not as a lost connection.
         out.push_back({oldest, coordinator::Cause::kEndpointError, {}, {}});
-        return false;
-      case net::HttpParser::State::kDone:
+        return net::DecodeStatus::kMalformed;
+      case net::HttpParser::State::kDone: {
+        net::DecodeStatus status = Finish(oldest, out);
         // With one request at a time, bytes behind the response belong to no request. The next request on
         // this connection would get them as its response.
-        return Finish(oldest, out) && in.empty();
+        return in.empty() ? status : net::DecodeStatus::kUnrequested;
+      }
       default:
-        return true;
+        return net::DecodeStatus::kOk;
     }
   }
 
@@ -33,7 +36,7 @@
   }
 
  private:
-  bool Finish(const std::string& oldest, std::vector<net::EndpointResponse>& out) {
+  net::DecodeStatus Finish(const std::string& oldest, std::vector<net::EndpointResponse>& out) {
     net::HttpMessage message = std::move(parser_.message());
     parser_ = net::HttpParser(net::HttpParser::Kind::kResponse);
     net::EndpointResponse response;
@@ -49,7 +52,7 @@
       response.cause = coordinator::Cause::kEndpointError;
     }
     out.push_back(std::move(response));
-    return !message.close;
+    return message.close ? net::DecodeStatus::kLastResponse : net::DecodeStatus::kOk;
   }
 
   net::HttpParser parser_{net::HttpParser::Kind::kResponse};
--- a/src/platform/frames.cpp
+++ b/src/platform/frames.cpp
@@ -64,7 +64,8 @@
  public:
   explicit FrameReader(const std::vector<std::string>& load_names) : load_names_(load_names) {}
 
-  bool Decode(std::string& in, const std::string&, std::vector<net::EndpointResponse>& out) override {
+  net::DecodeStatus Decode(std::string& in, const std::string&,
+                           std::vector<net::EndpointResponse>& out) override {
     std::string_view rest = in;
     bool usable = true;
     while (usable && rest.size() >= kLengthBytes) {
@@ -74,13 +75,13 @@
         break;
       }
       const std::size_t size = FrameSize(rest);
-      if (size == 0 || size > kMaxFrameBytes) return false;
+      if (size == 0 || size > kMaxFrameBytes) return net::DecodeStatus::kMalformed;
       if (rest.size() - kLengthBytes < size) break;
       usable = ParseFrame(rest.substr(kLengthBytes, size), out);
       rest.remove_prefix(kLengthBytes + size);
     }
     in.erase(0, in.size() - rest.size());
-    return usable;
+    return usable ? net::DecodeStatus::kOk : net::DecodeStatus::kMalformed;
   }
 
  private:
--- a/tests/decision_log/stored_data_test.cpp
+++ b/tests/decision_log/stored_data_test.cpp
@@ -406,7 +406,8 @@
 
 TEST_CASE("figures keep their names and order") {
   RunningCoordinator coordinator;
-  CHECK(NamesOf(coordinator.Get("/-/metrics").body) == Fixture("live/metrics_names.txt"));
+  CHECK(NamesOf(coordinator.Get("/-/metrics").body) ==
+        Fixture("live/metrics_names.txt") + Fixture("live/metrics_names_added.txt"));
   CHECK(NamesOf(coordinator.Admin("/stats").body) == Fixture("live/admin_stats_names.txt"));
 }
 
--- a/tests/opensearch/endpoint_protocol_test.cpp
+++ b/tests/opensearch/endpoint_protocol_test.cpp
@@ -18,9 +18,10 @@
 
 std::string BodyWithHit(const std::string& id) { return R"({"hits":{"hits":[{"_id":")" + id + R"("}]}})"; }
 
-std::string ResponseWithHit(const std::string& id) {
+std::string ResponseWithHit(const std::string& id, const std::string& headers = "") {
   std::string body = BodyWithHit(id);
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 // A pool with one endpoint of the search API.
@@ -52,3 +53,15 @@
   CHECK(fixture.WaitForResult(1).value == BodyWithHit("violin"));
   CHECK(fixture.counters.malformed_responses.Value() == 1);
 }
+
+// Guards against counting an endpoint's announced close as a violation of the protocol.
+TEST_CASE("a response that announces the end of its connection is valid") {
+  SearchFixture fixture;
+  fixture.Send(0);
+  net::Fd first = fixture.AcceptAndRead(0);
+  net::WriteAll(first, ResponseWithHit("piano", "Connection: close\r\n"), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(0).cause == Cause::kServed);
+  fixture.Send(0);
+  net::Fd second = fixture.AcceptAndRead(0);
+  CHECK(fixture.counters.malformed_responses.Value() == 0);
+}
--- a/tests/platform/frames_test.cpp
+++ b/tests/platform/frames_test.cpp
@@ -13,7 +13,7 @@
     std::string input{static_cast<char>(frame.size()), 0, 0, 0};
     input += frame;
     std::vector<net::EndpointResponse> responses;
-    CHECK(protocol.NewReader()->Decode(input, "", responses));
+    CHECK(protocol.NewReader()->Decode(input, "", responses) == net::DecodeStatus::kOk);
     return responses.at(0).load;
   };
   CHECK(load("queue=3,inflight=2,other=1") == std::vector<double>{3, 2});
