Write no search to a connection on which the endpoint has already sent bytes

Not seen in service.

Cause: EndpointConnectionIo::Flush writes a request as soon as the attempt before it has ended, under one hold of the pool's lock. A copy that arrives apart from its response is unread then, and HTTP responses are matched to requests by order.

Ruled out: the path on which the pool's thread reads the copy first; SearchResponseReader finds no request in flight and the connection is closed. The platform's frames name their requests, so bytes before a request cannot answer it.

Change: where responses are matched by order, the socket is looked at before the first byte of a request; with bytes or an end on it the connection is closed and the request goes back to the front of its queue, as after a failed write. One system call for each search attempt, none on the platform.

--- a/src/net/endpoint_connection_io.cpp
+++ b/src/net/endpoint_connection_io.cpp
@@ -80,6 +80,7 @@
     if (!connection.IsWriting()) BeginCancellationFrame(connection);
     bool nothing_written = !connection.frame_attempts.empty() && connection.written_bytes == 0;
     if (nothing_written && !EncodeFrame(connection)) continue;
+    if (nothing_written && CloseIfInputPrecedesRequest(id, connection)) return false;
     std::string_view unwritten = connection.frame;
     unwritten.remove_prefix(connection.written_bytes);
     WriteResult written = WriteNow(connection.fd, unwritten);
@@ -136,22 +137,40 @@
   }
 }
 
-// If a connection breaks before the first byte of a frame is written, the endpoint has received nothing of
-// it, and the frame's attempts return to the front of the queue. Responses that arrived before the error are
-// still processed.
-void EndpointConnectionIo::HandleWriteError(ConnectionId id, EndpointConnection& connection) {
+// Returns the attempts of a frame of which no byte was written to the front of the queue: the endpoint has
+// received nothing of it.
+void EndpointConnectionIo::RequeueFrame(EndpointConnection& connection) {
   std::vector<coordinator::AttemptKey> keys = std::exchange(connection.frame_attempts, {});
-  if (connection.written_bytes == 0) {
-    std::ranges::reverse(keys);  // push_front below restores their order
-    for (const coordinator::AttemptKey& key : keys) {
-      Attempt* attempt = attempts_.Find(key);
-      if (attempt == nullptr) continue;
-      ++attempt->broken_connections;
-      if (attempt->broken_connections >= kMaxBrokenConnections) continue;
-      connection.queue->pending.push_front(key);
-      RemoveFromFrame(connection, key);
-    }
+  std::ranges::reverse(keys);  // push_front below restores their order
+  for (const coordinator::AttemptKey& key : keys) {
+    Attempt* attempt = attempts_.Find(key);
+    if (attempt == nullptr) continue;
+    ++attempt->broken_connections;
+    if (attempt->broken_connections >= kMaxBrokenConnections) continue;
+    connection.queue->pending.push_front(key);
+    RemoveFromFrame(connection, key);
+  }
+}
+
+// Called before the first byte of a request frame is written. Without ids, bytes that the endpoint has sent
+// by now would be taken for the response to that request.
+bool EndpointConnectionIo::CloseIfInputPrecedesRequest(ConnectionId id, EndpointConnection& connection) {
+  if (!protocol_.MatchesResponsesByOrder()) return false;
+  SocketState input = Peek(connection.fd.Get());
+  if (input == SocketState::kNothing) return false;
+  RequeueFrame(connection);
+  if (input == SocketState::kBytes) {
+    CloseAfter(DecodeStatus::kUnrequested, id, connection);
+  } else {
+    connections_.Close(id, connection, coordinator::Cause::kConnectionLost);
   }
+  return true;
+}
+
+// Responses that arrived before the error are still processed.
+void EndpointConnectionIo::HandleWriteError(ConnectionId id, EndpointConnection& connection) {
+  if (connection.written_bytes == 0) RequeueFrame(connection);
+  connection.frame_attempts.clear();
   connection.frame.clear();
   connection.cancellations.clear();
   if (Receive(id, connection)) connections_.Close(id, connection, coordinator::Cause::kConnectionLost);
--- a/src/net/endpoint_connection_io.h
+++ b/src/net/endpoint_connection_io.h
@@ -44,7 +44,9 @@
   void BeginCancellationFrame(EndpointConnection& connection) const;
   bool EncodeFrame(EndpointConnection& connection);
   void FinishFrame(EndpointConnection& connection);
+  void RequeueFrame(EndpointConnection& connection);
   void HandleWriteError(ConnectionId id, EndpointConnection& connection);
+  bool CloseIfInputPrecedesRequest(ConnectionId id, EndpointConnection& connection);
   DecodeStatus Decode(EndpointConnection& connection, IoStatus read_status);
   void CloseAfter(DecodeStatus status, ConnectionId id, EndpointConnection& connection);
   bool Complete(EndpointConnection& connection, EndpointResponse response);
--- a/src/net/endpoint_protocol.h
+++ b/src/net/endpoint_protocol.h
@@ -60,6 +60,9 @@
   // closing its connection.
   virtual std::string EncodeCancellation(const std::string& id) const = 0;
   virtual std::unique_ptr<ResponseReader> NewReader() const = 0;
+  // Whether a response belongs to the only request in flight rather than to the one that it names. Bytes that
+  // have arrived before a request is written would then be taken for its response.
+  virtual bool MatchesResponsesByOrder() const = 0;
 };
 
 }  // namespace liftrudder::net
--- a/src/opensearch/endpoint_protocol.h
+++ b/src/opensearch/endpoint_protocol.h
@@ -20,6 +20,7 @@
   // Empty: a search is cancelled by closing its connection.
   std::string EncodeCancellation(const std::string&) const override { return {}; }
   std::unique_ptr<net::ResponseReader> NewReader() const override;
+  bool MatchesResponsesByOrder() const override { return true; }
 };
 
 }  // namespace liftrudder::opensearch
--- a/src/platform/frames.h
+++ b/src/platform/frames.h
@@ -24,6 +24,7 @@
   std::string EncodeCancellation(const std::string& id) const override;
   // The reader keeps a reference to this protocol's load names.
   std::unique_ptr<net::ResponseReader> NewReader() const override;
+  bool MatchesResponsesByOrder() const override { return false; }
 
  private:
   std::vector<std::string> load_names_;
--- a/tests/opensearch/endpoint_protocol_test.cpp
+++ b/tests/opensearch/endpoint_protocol_test.cpp
@@ -26,14 +26,19 @@
 
 // A pool with one endpoint of the search API.
 struct SearchFixture : ConnectionPoolFixture {
-  SearchFixture()
-      : ConnectionPoolFixture(1, OneRequestAtATime(), std::make_unique<opensearch::SearchProtocol>()) {}
+  explicit SearchFixture(const net::ConnectionLimits& limits = OneRequestAtATime())
+      : ConnectionPoolFixture(1, limits, std::make_unique<opensearch::SearchProtocol>()) {}
 
   static net::ConnectionLimits OneRequestAtATime() {
     net::ConnectionLimits limits;
     limits.streams_per_connection = 1;
     return limits;
   }
+  static net::ConnectionLimits OneConnection() {
+    net::ConnectionLimits limits = OneRequestAtATime();
+    limits.max_connections = 1;
+    return limits;
+  }
 };
 
 }  // namespace
@@ -41,9 +46,9 @@
 // Guards against serving a second copy of a response to the next search on its connection.
 TEST_CASE("a connection with bytes behind a response takes no further search") {
   SearchFixture fixture;
+  std::string behind = GENERATE(ResponseWithHit("piano"), std::string("HTTP/1.1 2"), std::string("\0", 1));
   fixture.Send(0);
   net::Fd first = fixture.AcceptAndRead(0);
-  std::string behind = GENERATE(ResponseWithHit("piano"), std::string("HTTP/1.1 2"), std::string("\0", 1));
   net::WriteAll(first, ResponseWithHit("piano") + behind, kTestTimeoutUs);
   CHECK(fixture.WaitForResult(0).cause == Cause::kServed);
   CHECK(fixture.WaitForResult(0).value == BodyWithHit("piano"));
@@ -65,3 +70,21 @@
   net::Fd second = fixture.AcceptAndRead(0);
   CHECK(fixture.counters.malformed_responses.Value() == 0);
 }
+
+// Guards against serving a second copy that arrives apart from its response to a search that is written
+// before the copy has been read.
+TEST_CASE("no search is written to a connection with unread bytes") {
+  SearchFixture fixture(SearchFixture::OneConnection());
+  fixture.Send(0);
+  net::Fd first = fixture.AcceptAndRead(0);
+  fixture.before_result = [&first, results = 0]() mutable {
+    if (results++ == 0) net::WriteAll(first, ResponseWithHit("piano"), kTestTimeoutUs);
+  };
+  fixture.Send(0);  // waits for the only connection, and takes it as soon as the first one has ended
+  net::WriteAll(first, ResponseWithHit("piano"), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(0).value == BodyWithHit("piano"));
+  net::Fd second = fixture.AcceptAndRead(0);
+  net::WriteAll(second, ResponseWithHit("violin"), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(1).value == BodyWithHit("violin"));
+  CHECK(fixture.counters.unrequested_responses.Value() == 1);
+}
--- a/tests/support/connection_pool_fixture.h
+++ b/tests/support/connection_pool_fixture.h
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -33,6 +34,7 @@
     update = endpoint_registry.Apply(list, 1);
     pool.emplace(*protocol, endpoint_registry, clock, limits, counters, figures,
                  [this](coordinator::AttemptResult result) {
+                   if (before_result) before_result();
                    std::lock_guard lock(mutex);
                    results.push_back(std::move(result));
                    result_added.notify_one();
@@ -69,6 +71,8 @@
   }
 
   std::string received;  // the bytes read by the last AcceptAndRead
+  // Called on the pool's thread, under its lock, before it goes on after the end of an attempt.
+  std::function<void()> before_result;
   std::vector<net::Fd> listeners;
   coordinator::EndpointRegistry endpoint_registry;
   std::optional<liftrudder::routing::EndpointListUpdate> update;
