Serve a search only with a response that names it, or is alone on its connection

Not seen in service.

Cause: nothing in a response of the search API was compared with the request that it was taken for. X-Opaque-Id, which servers of this API repeat, was sent but not read, and had one value for all shards and attempts of a call.

The platform's frames carry the shard request's id and are compared with the requests in flight.

Change: X-Opaque-Id is unique to an attempt. A response with another value, or several, ends its connection and its attempt as an error. A response without the header is served, and its connection closed: every response on it so far named another request, so it can belong only to this one, but a later copy of it could not be told. Such endpoints get one connection a request; connections_unnamed counts them.

The scenario's endpoints now repeat X-Opaque-Id in 'reply', as servers of the API do. Two earlier tests named no request and would have passed through the new rule alone; they name it now and were seen to fail again without their own fixes.

--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -37,6 +37,8 @@
   line(wire_names::kEndpointLists, endpoint_lists);
   // Newer counters follow, as operators' tools may rely on the order.
   line(wire_names::kConnectionsUnrequested, unrequested_responses);
+  line(wire_names::kConnectionsMisnamed, misnamed_responses);
+  line(wire_names::kConnectionsUnnamed, unnamed_responses);
   return text;
 }
 
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -48,6 +48,8 @@
   Counter connections_failed;
   Counter malformed_responses;    // connections closed because of an unusable response
   Counter unrequested_responses;  // of these: because of bytes that answer no request in flight
+  Counter misnamed_responses;     // of these: because of a response that names another request
+  Counter unnamed_responses;      // connections closed because a valid response does not name its request
 
   Counter rounds;          // decision rounds
   Counter endpoint_lists;  // endpoint lists received, full ones and deltas
--- a/src/metrics/wire_names.h
+++ b/src/metrics/wire_names.h
@@ -30,6 +30,8 @@
 inline constexpr const char* kRounds = "rounds";
 inline constexpr const char* kEndpointLists = "lists_told";
 inline constexpr const char* kConnectionsUnrequested = "connections_unrequested";
+inline constexpr const char* kConnectionsMisnamed = "connections_misnamed";
+inline constexpr const char* kConnectionsUnnamed = "connections_unnamed";
 
 // OperatorFigures::Text; the figures by class carry the label kClassLabel.
 inline constexpr const char* kClassLabel = "group";
--- a/src/net/endpoint_connection_io.cpp
+++ b/src/net/endpoint_connection_io.cpp
@@ -206,6 +206,8 @@
   bool violation = IsViolation(status);
   if (violation) counters_.malformed_responses.Add();
   if (status == DecodeStatus::kUnrequested) counters_.unrequested_responses.Add();
+  if (status == DecodeStatus::kMisnamed) counters_.misnamed_responses.Add();
+  if (status == DecodeStatus::kUnnamed) counters_.unnamed_responses.Add();
   connections_.Close(id, connection,
                      violation ? coordinator::Cause::kInvalidResponse : coordinator::Cause::kConnectionLost);
 }
--- a/src/net/endpoint_protocol.h
+++ b/src/net/endpoint_protocol.h
@@ -25,13 +25,27 @@
 enum class DecodeStatus {
   kOk,            // it carries further requests
   kLastResponse,  // the endpoint closes it after the response that was decoded
+  // The response does not name its request, so a second copy of it could not be told from the response to a
+  // further request on this connection.
+  kUnnamed,
   // Violations of the protocol: nothing else on the connection can be trusted.
   kMalformed,    // the bytes are no response
   kUnrequested,  // the bytes answer no request in flight, or follow the response to the only one
+  kMisnamed,     // the response names another request than the one in flight
 };
 
 constexpr bool IsViolation(DecodeStatus status) {
-  return status != DecodeStatus::kOk && status != DecodeStatus::kLastResponse;
+  switch (status) {
+    case DecodeStatus::kOk:
+    case DecodeStatus::kLastResponse:
+    case DecodeStatus::kUnnamed:
+      return false;
+    case DecodeStatus::kMalformed:
+    case DecodeStatus::kUnrequested:
+    case DecodeStatus::kMisnamed:
+      break;
+  }
+  return true;
 }
 
 // Decodes the responses of one connection incrementally.
@@ -60,8 +74,8 @@
   // closing its connection.
   virtual std::string EncodeCancellation(const std::string& id) const = 0;
   virtual std::unique_ptr<ResponseReader> NewReader() const = 0;
-  // Whether a response belongs to the only request in flight rather than to the one that it names. Bytes that
-  // have arrived before a request is written would then be taken for its response.
+  // Whether a response may leave out the name of its request and then belongs to the only one in flight.
+  // Bytes that have arrived before a request is written could be taken for its response.
   virtual bool MatchesResponsesByOrder() const = 0;
 };
 
--- a/src/opensearch/endpoint_protocol.cpp
+++ b/src/opensearch/endpoint_protocol.cpp
@@ -4,6 +4,7 @@
 
 #include "net/http.h"
 #include "opensearch/merge.h"
+#include "opensearch/wire_names.h"
 
 namespace liftrudder::opensearch {
 namespace {
@@ -24,7 +25,8 @@
         net::DecodeStatus status = Finish(oldest, out);
         // With one request at a time, bytes behind the response belong to no request. The next request on
         // this connection would get them as its response.
-        return in.empty() ? status : net::DecodeStatus::kUnrequested;
+        bool bytes_left = !in.empty() && !net::IsViolation(status);
+        return bytes_left ? net::DecodeStatus::kUnrequested : status;
       }
       default:
         return net::DecodeStatus::kOk;
@@ -39,6 +41,10 @@
   net::DecodeStatus Finish(const std::string& oldest, std::vector<net::EndpointResponse>& out) {
     net::HttpMessage message = std::move(parser_.message());
     parser_ = net::HttpParser(net::HttpParser::Kind::kResponse);
+    const std::string* name = message.Header(wire::kOpaqueIdHeader);
+    bool named = name != nullptr;
+    bool misnamed = named && (*name != oldest || message.Count(wire::kOpaqueIdHeader) > 1);
+    if (misnamed) return net::DecodeStatus::kMisnamed;
     net::EndpointResponse response;
     response.id = oldest;
     bool successful = message.status >= 200 && message.status < 300;
@@ -52,7 +58,8 @@
       response.cause = coordinator::Cause::kEndpointError;
     }
     out.push_back(std::move(response));
-    return message.close ? net::DecodeStatus::kLastResponse : net::DecodeStatus::kOk;
+    if (message.close) return net::DecodeStatus::kLastResponse;
+    return named ? net::DecodeStatus::kOk : net::DecodeStatus::kUnnamed;
   }
 
   net::HttpParser parser_{net::HttpParser::Kind::kResponse};
@@ -61,7 +68,7 @@
 }  // namespace
 
 std::string SearchProtocol::AttemptId(const coordinator::AttemptRequest& request) const {
-  return fmt::format("{}.{}", request.payload->call_id, request.shard);
+  return fmt::format("{}.{}.{}", request.payload->call_id, request.shard, request.key.attempt);
 }
 
 std::string SearchProtocol::EncodeRequest(std::span<const coordinator::AttemptRequest* const> requests,
@@ -69,11 +76,12 @@
   const coordinator::AttemptRequest& request = *requests.front();  // one request per call
   const coordinator::Payload& payload = *request.payload;
   return fmt::format(
-      "POST {}{}preference=_shards:{} HTTP/1.1\r\nHost: {}\r\nX-Opaque-Id: {}\r\nX-Budget: {:.3f}\r\n"
+      "POST {}{}preference=_shards:{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\nX-Budget: {:.3f}\r\n"
       "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
       payload.target, payload.target.find('?') == std::string::npos ? '?' : '&', request.shard, endpoint,
-      payload.call_id, static_cast<double>(request.attempt_deadline_us - now_us) / 1e6,
-      payload.statement.size(), payload.statement);
+      wire::kOpaqueIdHeader, AttemptId(request),
+      static_cast<double>(request.attempt_deadline_us - now_us) / 1e6, payload.statement.size(),
+      payload.statement);
 }
 
 std::unique_ptr<net::ResponseReader> SearchProtocol::NewReader() const {
--- a/src/opensearch/wire_names.h
+++ b/src/opensearch/wire_names.h
@@ -23,7 +23,8 @@
 inline constexpr std::string_view kAllIndices = "_all";
 inline constexpr std::string_view kAllScrolls = "_all";
 
-// Headers. The opaque id is the client's own label for a request.
+// Headers. The opaque id is the sender's own label for a request: the client's on requests to this program,
+// the attempt's id on requests to endpoints.
 inline constexpr const char* kOpaqueIdHeader = "X-Opaque-Id";
 inline constexpr const char* kTimeoutHeader = "X-Budget";
 inline constexpr const char* kAuthorizationHeader = "Authorization";
--- a/tests/opensearch/endpoint_protocol_test.cpp
+++ b/tests/opensearch/endpoint_protocol_test.cpp
@@ -24,6 +24,14 @@
          body;
 }
 
+// The header line that names the last request that the fixture has read.
+std::string NameOfRequest(const ConnectionPoolFixture& fixture) {
+  std::string mark = "X-Opaque-Id: ";
+  std::size_t at = fixture.received.find(mark);
+  REQUIRE(at != std::string::npos);
+  return fixture.received.substr(at, fixture.received.find("\r\n", at) + 2 - at);
+}
+
 // A pool with one endpoint of the search API.
 struct SearchFixture : ConnectionPoolFixture {
   explicit SearchFixture(const net::ConnectionLimits& limits = OneRequestAtATime())
@@ -49,7 +57,7 @@
   std::string behind = GENERATE(ResponseWithHit("piano"), std::string("HTTP/1.1 2"), std::string("\0", 1));
   fixture.Send(0);
   net::Fd first = fixture.AcceptAndRead(0);
-  net::WriteAll(first, ResponseWithHit("piano") + behind, kTestTimeoutUs);
+  net::WriteAll(first, ResponseWithHit("piano", NameOfRequest(fixture)) + behind, kTestTimeoutUs);
   CHECK(fixture.WaitForResult(0).cause == Cause::kServed);
   CHECK(fixture.WaitForResult(0).value == BodyWithHit("piano"));
   fixture.Send(0);
@@ -77,14 +85,66 @@
   SearchFixture fixture(SearchFixture::OneConnection());
   fixture.Send(0);
   net::Fd first = fixture.AcceptAndRead(0);
-  fixture.before_result = [&first, results = 0]() mutable {
-    if (results++ == 0) net::WriteAll(first, ResponseWithHit("piano"), kTestTimeoutUs);
+  std::string response = ResponseWithHit("piano", NameOfRequest(fixture));
+  fixture.before_result = [&first, &response, results = 0]() mutable {
+    if (results++ == 0) net::WriteAll(first, response, kTestTimeoutUs);
   };
   fixture.Send(0);  // waits for the only connection, and takes it as soon as the first one has ended
-  net::WriteAll(first, ResponseWithHit("piano"), kTestTimeoutUs);
+  net::WriteAll(first, response, kTestTimeoutUs);
   CHECK(fixture.WaitForResult(0).value == BodyWithHit("piano"));
   net::Fd second = fixture.AcceptAndRead(0);
   net::WriteAll(second, ResponseWithHit("violin"), kTestTimeoutUs);
   CHECK(fixture.WaitForResult(1).value == BodyWithHit("violin"));
   CHECK(fixture.counters.unrequested_responses.Value() == 1);
 }
+
+// Guards against serving a second copy that arrives after the next search has been written.
+TEST_CASE("a response that names another search is not served") {
+  bool names_both = GENERATE(false, true);
+  SearchFixture fixture(SearchFixture::OneConnection());
+  fixture.Send(0);
+  net::Fd endpoint = fixture.AcceptAndRead(0);
+  std::string first_name = NameOfRequest(fixture);
+  net::WriteAll(endpoint, ResponseWithHit("piano", first_name), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(0).cause == Cause::kServed);
+  fixture.Send(0);
+  fixture.received.clear();
+  REQUIRE(net::ReadSome(endpoint, fixture.received, kTestTimeoutUs) == net::IoStatus::kOk);
+  std::string names = names_both ? NameOfRequest(fixture) + first_name : first_name;
+  net::WriteAll(endpoint, ResponseWithHit("piano", names), kTestTimeoutUs);
+  coordinator::AttemptResult second = fixture.WaitForResult(1);
+  CHECK(second.value.empty());
+  CHECK(coordinator::OutcomeOf(second.progress, second.cause) == coordinator::AttemptOutcome::kError);
+  fixture.pool.reset();
+  CHECK(fixture.counters.misnamed_responses.Value() == 1);
+}
+
+// Guards against the same copy from a server that does not repeat X-Opaque-Id.
+TEST_CASE("a connection whose response does not name its search takes no further one") {
+  SearchFixture fixture;
+  fixture.Send(0);
+  net::Fd first = fixture.AcceptAndRead(0);
+  net::WriteAll(first, ResponseWithHit("piano"), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(0).cause == Cause::kServed);
+  fixture.Send(0);
+  net::Fd second = fixture.AcceptAndRead(0);
+  net::WriteAll(second, ResponseWithHit("violin"), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(1).value == BodyWithHit("violin"));
+  fixture.pool.reset();
+  CHECK(fixture.counters.unnamed_responses.Value() == 2);
+  CHECK(fixture.counters.malformed_responses.Value() == 0);
+}
+
+TEST_CASE("a connection whose responses name their searches is used again") {
+  SearchFixture fixture;
+  fixture.Send(0);
+  net::Fd endpoint = fixture.AcceptAndRead(0);
+  for (std::size_t nth = 0; nth < 3; ++nth) {
+    net::WriteAll(endpoint, ResponseWithHit("piano", NameOfRequest(fixture)), kTestTimeoutUs);
+    CHECK(fixture.WaitForResult(nth).cause == Cause::kServed);
+    fixture.Send(0);
+    fixture.received.clear();
+    REQUIRE(net::ReadSome(endpoint, fixture.received, kTestTimeoutUs) == net::IoStatus::kOk);
+  }
+  CHECK(fixture.counters.connections_opened.Value() == 1);
+}
--- a/tests/scenario/peer.cpp
+++ b/tests/scenario/peer.cpp
@@ -51,6 +51,8 @@
   const net::HttpMessage& message = connection.http->message();
   const auto kind = message.status > 0 ? HttpParser::Kind::kResponse : HttpParser::Kind::kRequest;
   peer.messages.push_back({&connection, Describe(message)});
+  const std::string* opaque_id = message.Header(kOpaqueIdHeader);
+  connection.opaque_id = opaque_id == nullptr ? "" : *opaque_id;
   connection.http = std::make_unique<HttpParser>(kind);
   return true;
 }
--- a/tests/scenario/peer.h
+++ b/tests/scenario/peer.h
@@ -15,6 +15,7 @@
 
 namespace liftrudder::tests {
 
+constexpr const char* kOpaqueIdHeader = "X-Opaque-Id";
 constexpr net::Micros kWriteTimeoutUs = 5'000'000;
 
 // The protocol of a connection; kIgnored: received bytes are not parsed.
@@ -26,6 +27,7 @@
   std::unique_ptr<net::HttpParser> http;  // null unless `wire` is kHttp
   std::unique_ptr<TlsClient> tls;         // null: plain text
   std::string received;                   // not a complete message yet
+  std::string opaque_id;                  // X-Opaque-Id of the last HTTP request; empty: none
   bool ended = false;                     // closed by the program or by the scenario
 };
 
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -12,7 +12,7 @@
 //   send X TEXT              sends bytes on X's connection (escapes: \r, \n, \xNN); an endpoint sends a frame
 //   bytes X TEXT             the same without a frame, on the connection of X's last expected message
 //   flood C SIZE TEXT        client C sends TEXT and SIZE more bytes without reading the response
-//   reply X STATUS BODY      the endpoint answers its last expected request, in HTTP
+//   reply X STATUS BODY      the endpoint answers its last expected request, in HTTP, with its X-Opaque-Id
 //   deny discovery BYTES     the next watch gets these bytes and its connection is closed
 //   stall discovery BYTES    the next watch gets these bytes and nothing more; its connection stays open
 //   log once TEXT            waits until the program's log contains TEXT, which it may contain only once
--- a/tests/scenario/statements.cpp
+++ b/tests/scenario/statements.cpp
@@ -54,7 +54,9 @@
   net::HttpResponse response;
   response.status = std::stoi(split.word);
   response.body = split.rest;
-  Write(*FindEndpoint(statement.subject).last_expected, net::Format(response, false));
+  Connection& connection = *FindEndpoint(statement.subject).last_expected;
+  if (!connection.opaque_id.empty()) response.headers.emplace_back(kOpaqueIdHeader, connection.opaque_id);
+  Write(connection, net::Format(response, false));
 }
 
 std::string Player::AwaitEndpointMessage(const std::string& selector) {
