Take no response for a request that is not fully written

Not seen in service.

Cause: EndpointConnectionIo::Complete took every attempt in in_flight for one that may be answered, but an attempt is in that list from when it is added to a frame, also while the frame waits for the socket and after a failed write.

Ruled out: the whole frame handed to the kernel without the attempt counting as fully written; both happen under one hold of the pool's lock.

Change: a response to an attempt that is not fully written is a violation.

--- a/src/net/endpoint_connection_io.cpp
+++ b/src/net/endpoint_connection_io.cpp
@@ -237,7 +237,7 @@
 }
 
 // Ends the attempt that the response answers. Returns false if its id belongs to no request in flight or
-// abandoned on this connection.
+// abandoned on this connection, or to one that the endpoint cannot have read to its end.
 bool EndpointConnectionIo::Complete(EndpointConnection& connection, EndpointResponse response) {
   connection.last_used_us = clock_.Now();
   auto found = std::ranges::find(connection.in_flight, response.id, &InFlightRequest::id);
@@ -245,8 +245,9 @@
     return std::erase(connection.abandoned_ids, response.id) > 0;
   }
   coordinator::AttemptKey key = found->key;
-  connection.in_flight.erase(found);
   Attempt* attempt = attempts_.Find(key);
+  if (attempt != nullptr && attempt->progress < coordinator::Progress::kFullyWritten) return false;
+  connection.in_flight.erase(found);
   if (attempt != nullptr) attempt->progress = coordinator::Progress::kAnswering;
   coordinator::Cause cause = response.cause;
   attempts_.Finish(key, cause, std::move(response));
--- a/tests/net/endpoint_connection_pool_test.cpp
+++ b/tests/net/endpoint_connection_pool_test.cpp
@@ -165,3 +165,15 @@
   CHECK(pool_fixture.counters.connections_opened.Value() == kEndpoints);
   CHECK(pool_fixture.ResultCount() == 1);
 }
+
+// Guards against serving a response that was sent before its request had been written to the end.
+TEST_CASE("a response to a shard request that is partly written is not served") {
+  ConnectionPoolFixture fixture(1, {});
+  fixture.statement.assign(tests::kMoreThanSocketBuffersHold, ' ');
+  fixture.Send(0);
+  net::Fd endpoint = fixture.AcceptAndRead(0);
+  net::WriteAll(endpoint, ServedResponse(1), kTestTimeoutUs);
+  coordinator::AttemptResult result = fixture.WaitForResult(0);
+  CHECK(result.value.empty());
+  CHECK(coordinator::OutcomeOf(result.progress, result.cause) == AttemptOutcome::kConnectFailed);
+}
--- a/tests/opensearch/endpoint_protocol_test.cpp
+++ b/tests/opensearch/endpoint_protocol_test.cpp
@@ -148,3 +148,15 @@
   }
   CHECK(fixture.counters.connections_opened.Value() == 1);
 }
+
+// Guards against serving a response that was sent before its request had been written to the end.
+TEST_CASE("a response to a search that is partly written is not served") {
+  SearchFixture fixture;
+  fixture.statement.assign(tests::kMoreThanSocketBuffersHold, ' ');
+  fixture.Send(0);
+  net::Fd endpoint = fixture.AcceptAndRead(0);
+  net::WriteAll(endpoint, ResponseWithHit("piano", NameOfRequest(fixture)), kTestTimeoutUs);
+  coordinator::AttemptResult result = fixture.WaitForResult(0);
+  CHECK(result.value.empty());
+  CHECK(coordinator::OutcomeOf(result.progress, result.cause) == coordinator::AttemptOutcome::kConnectFailed);
+}
--- a/tests/support/connection_pool_fixture.h
+++ b/tests/support/connection_pool_fixture.h
@@ -19,6 +19,9 @@
 
 namespace liftrudder::tests {
 
+// A request of this size stays partly written while its endpoint does not read.
+constexpr std::size_t kMoreThanSocketBuffersHold = 64 * 1024 * 1024;
+
 // A pool for `endpoints` listening endpoints, and the results of its attempts.
 class ConnectionPoolFixture {
  public:
@@ -47,8 +50,8 @@
     request.endpoint = update->endpoints[static_cast<std::size_t>(endpoint)].id;
     request.shard = static_cast<int>(shard_requests);
     request.attempt_deadline_us = clock.Now() + 60'000'000;
-    request.payload =
-        std::make_shared<coordinator::Payload>(coordinator::Payload{"q", "", "text", "/", std::move(client)});
+    request.payload = std::make_shared<coordinator::Payload>(
+        coordinator::Payload{"q", "", statement, "/", std::move(client)});
     pool->Start(std::move(request));
     if (end_round_after_send) pool->EndRound();
   }
@@ -70,7 +73,8 @@
     return results.size();
   }
 
-  std::string received;  // the bytes read by the last AcceptAndRead
+  std::string statement = "text";  // of the attempts that Send starts
+  std::string received;            // the bytes read by the last AcceptAndRead
   // Called on the pool's thread, under its lock, before it goes on after the end of an attempt.
   std::function<void()> before_result;
   std::vector<net::Fd> listeners;
