Write no request to a connection on which an unrequested frame has begun

Not seen in service.

Cause: RequestDispatcher::CanAccept did not look at the receive buffer. With half a frame in it, the response to the next request was decoded as the rest of that frame, and the attempt failed as one that may have run.

Ruled out: foreign data; a response's id has to be in flight. Responses that arrive in pieces: a connection with a request in flight or an abandoned one is used as before. Probes in pieces: the connection waits for the rest and is used again.

--- a/src/net/endpoint_connection.h
+++ b/src/net/endpoint_connection.h
@@ -61,6 +61,9 @@
   // Whether an earlier request with this id is unanswered on this connection. The id must not be used again
   // here meanwhile: the response could belong to either request.
   bool HasUnanswered(const std::string& id) const;
+  // Whether bytes have been received that belong to no request: a frame that has begun although no response
+  // is due. A response to the next request would be decoded as the rest of it.
+  bool HasUnrequestedBytes() const { return !received.empty() && in_flight.empty() && abandoned_ids.empty(); }
   void RemoveInFlight(const coordinator::AttemptKey& key);
   // Records that the response to `id` is no longer wanted. It may arrive late or never, so a connection with
   // many abandoned responses is retired.
--- a/src/net/request_dispatcher.cpp
+++ b/src/net/request_dispatcher.cpp
@@ -122,7 +122,8 @@
 
 bool RequestDispatcher::CanAccept(const EndpointConnection& connection, const std::string& attempt_id) const {
   bool full = static_cast<int>(connection.in_flight.size()) >= limits_.streams_per_connection;
-  return !full && !connection.IsWriting() && !connection.HasUnanswered(attempt_id);
+  return !full && !connection.IsWriting() && !connection.HasUnanswered(attempt_id) &&
+         !connection.HasUnrequestedBytes();
 }
 
 // Returns the usable connection with the fewest requests in flight, or kNoConnection if there is none or the
--- a/tests/net/endpoint_connection_pool_test.cpp
+++ b/tests/net/endpoint_connection_pool_test.cpp
@@ -177,3 +177,21 @@
   CHECK(result.value.empty());
   CHECK(coordinator::OutcomeOf(result.progress, result.cause) == AttemptOutcome::kConnectFailed);
 }
+
+// Guards against decoding the response to a new request as the rest of a frame that nobody asked for.
+TEST_CASE("a connection on which an unrequested frame has begun takes no request") {
+  ConnectionPoolFixture fixture(1, {});
+  std::size_t begun_bytes = GENERATE(1u, 4u, 5u, 20u);
+  std::string copy = ServedResponse(1);
+  fixture.Send(0);
+  net::Fd first = fixture.AcceptAndRead(0);
+  net::WriteAll(first, ServedResponse(1) + copy.substr(0, begun_bytes), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(0).cause == Cause::kServed);
+  fixture.Send(0);
+  net::Fd second = fixture.AcceptAndRead(0);
+  net::WriteAll(first, copy.substr(begun_bytes), kTestTimeoutUs);
+  std::string end;
+  CHECK(net::ReadSome(first, end, kTestTimeoutUs) == net::IoStatus::kEnd);
+  net::WriteAll(second, ServedResponse(2), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(1).cause == Cause::kServed);
+}
