--- a/tests/net/endpoint_connection_pool_test.cpp
+++ b/tests/net/endpoint_connection_pool_test.cpp
@@ -195,3 +195,29 @@
   net::WriteAll(second, ServedResponse(2), kTestTimeoutUs);
   CHECK(fixture.WaitForResult(1).cause == Cause::kServed);
 }
+
+// Guards against taking a second copy of a rejection for the response to the retry, which runs and would be
+// sent again.
+TEST_CASE("a retry does not use the connection on which its shard request was answered") {
+  net::ConnectionLimits limits;
+  limits.max_connections = 1;
+  ConnectionPoolFixture fixture(1, limits);
+  std::string outcome = GENERATE(std::string("skipped"), std::string("broke"));
+  fixture.Send(0);
+  net::Fd first = fixture.AcceptAndRead(0);
+  SECTION("in time") {
+    net::WriteAll(first, tests::Response(1, outcome), kTestTimeoutUs);
+    CHECK(fixture.WaitForResult(0).cause != Cause::kServed);
+  }
+  SECTION("after the attempt had timed out") {
+    fixture.pool->CancelAttempt({1, 0}, fixture.update->endpoints[0].id, Cause::kExpired);
+    fixture.Send(0);
+    net::WriteAll(first, tests::Response(1, outcome) + ServedResponse(2), kTestTimeoutUs);
+    CHECK(fixture.WaitForResult(1).cause == Cause::kServed);
+  }
+  fixture.StartAttempt(0, {1, 1});
+  net::Fd second = fixture.AcceptAndRead(0);
+  std::size_t ended = fixture.ResultCount();
+  net::WriteAll(second, ServedResponse(1), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(ended).cause == Cause::kServed);
+}
--- a/tests/support/connection_pool_fixture.h
+++ b/tests/support/connection_pool_fixture.h
@@ -43,12 +43,16 @@
                    result_added.notify_one();
                  });
   }
-  // Starts the next attempt, whose shard request ids count from 1.
+  // Starts the first attempt of the next shard request; their ids count from 1.
   void Send(int endpoint, std::shared_ptr<const coordinator::ClientPresence> client = nullptr) {
+    StartAttempt(endpoint, {++shard_requests, 0}, std::move(client));
+  }
+  void StartAttempt(int endpoint, const coordinator::AttemptKey& key,
+                    std::shared_ptr<const coordinator::ClientPresence> client = nullptr) {
     coordinator::AttemptRequest request;
-    request.key = {++shard_requests, 0};
+    request.key = key;
     request.endpoint = update->endpoints[static_cast<std::size_t>(endpoint)].id;
-    request.shard = static_cast<int>(shard_requests);
+    request.shard = static_cast<int>(key.shard_request);
     request.attempt_deadline_us = clock.Now() + 60'000'000;
     request.payload = std::make_shared<coordinator::Payload>(
         coordinator::Payload{"q", "", statement, "/", std::move(client)});
@@ -92,11 +96,12 @@
   std::optional<net::EndpointConnectionPool> pool;  // declared last: its thread uses all members above
 };
 
-// The frame with which an endpoint answers a shard request.
-inline std::string ServedResponse(coordinator::Id shard_request) {
-  std::string text = "aq." + std::to_string(shard_request) + " served 1 -\nv";
+// The frame with which an endpoint answers a shard request, with the outcome as the protocol writes it.
+inline std::string Response(coordinator::Id shard_request, const std::string& outcome) {
+  std::string text = "aq." + std::to_string(shard_request) + " " + outcome + " 1 -\nv";
   return std::string{static_cast<char>(text.size()), 0, 0, 0} + text;
 }
+inline std::string ServedResponse(coordinator::Id shard_request) { return Response(shard_request, "served"); }
 
 }  // namespace liftrudder::tests
 
