Test that a search gets only its own response, for random streams and wrong lengths

Change: 5,000 seeded connections of up to six searches, with second copies, noise, unnamed responses and any cut; and bodies whose length, chunks or headers disagree.

--- a/tests/opensearch/endpoint_protocol_test.cpp
+++ b/tests/opensearch/endpoint_protocol_test.cpp
@@ -1,9 +1,13 @@
 // The search API's protocol to endpoints, on its own and with the connection pool over loopback.
 #include "opensearch/endpoint_protocol.h"
 
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 #include <memory>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/connection_pool_fixture.h"
@@ -49,6 +53,50 @@
   }
 };
 
+// A connection to an endpoint that sends responses, second copies and noise in pieces, as a seed determines.
+class RandomConnection {
+ public:
+  explicit RandomConnection(unsigned seed)
+      : random_(seed), reader_(opensearch::SearchProtocol().NewReader()) {}
+
+  // Sends a search of that name; returns what the reader made of the bytes that came for it.
+  std::vector<net::EndpointResponse> Exchange(const std::string& name) {
+    std::string unread = BytesFor(name);
+    std::vector<net::EndpointResponse> responses;
+    net::DecodeStatus status = net::DecodeStatus::kOk;
+    while (!unread.empty() && responses.empty() && status == net::DecodeStatus::kOk) {
+      std::size_t piece = 1 + Below(unread.size());
+      received_ += unread.substr(0, piece);
+      unread.erase(0, piece);
+      status = reader_->Decode(received_, name, responses);
+    }
+    // Bytes that are unread before the next request make the pool close the connection.
+    usable_ = status == net::DecodeStatus::kOk && unread.empty();
+    return responses;
+  }
+  bool usable() const { return usable_; }
+
+ private:
+  std::size_t Below(std::size_t bound) { return random_() % bound; }
+  bool OneIn(std::size_t count) { return Below(count) == 0; }
+
+  std::string BytesFor(const std::string& name) {
+    std::string response = ResponseWithHit(name, OneIn(8) ? "" : "X-Opaque-Id: " + name + "\r\n");
+    std::string bytes;
+    if (OneIn(4)) bytes = late_[Below(late_.size())];
+    bytes += response;
+    if (OneIn(4)) bytes += response.substr(0, 1 + Below(response.size()));
+    late_.push_back(std::move(response));
+    return bytes;
+  }
+
+  std::mt19937 random_;
+  std::unique_ptr<net::ResponseReader> reader_;
+  std::string received_;
+  std::vector<std::string> late_{"HTTP/1.1 "};  // may come before the next response: noise, earlier responses
+  bool usable_ = true;
+};
+
 }  // namespace
 
 // Guards against serving a second copy of a response to the next search on its connection.
@@ -160,3 +208,47 @@
   CHECK(result.value.empty());
   CHECK(coordinator::OutcomeOf(result.progress, result.cause) == coordinator::AttemptOutcome::kConnectFailed);
 }
+
+// Guards against a second copy, or a part of the response, that the stated length hides in the body.
+TEST_CASE("a response whose length does not fit its body is an error") {
+  std::string body = BodyWithHit("piano");
+  std::string length = std::to_string(body.size());
+  std::string twice = std::to_string(2 * body.size());
+  std::string half = std::to_string(body.size() / 2);
+  std::string chunk = fmt::format("{:x}\r\n{}\r\n", body.size(), body);
+  std::string name = "X-Opaque-Id: s-0.0.0\r\n";
+  std::string message = GENERATE_COPY(
+      "Content-Length: " + twice + "\r\n\r\n" + body + body, "Content-Length: " + half + "\r\n\r\n" + body,
+      "Content-Length: " + length + "\r\nContent-Length: " + twice + "\r\n\r\n" + body,
+      "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk + "0\r\n\r\n",
+      "Transfer-Encoding: chunked\r\n\r\n" + chunk + "x\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: " + length + "\r\n\r\n" + chunk);
+  std::string received = "HTTP/1.1 200 OK\r\n" + name + message;
+  std::vector<net::EndpointResponse> responses;
+  opensearch::SearchProtocol().NewReader()->Decode(received, "s-0.0.0", responses);
+  REQUIRE(responses.size() == 1);
+  CHECK(responses[0].cause == Cause::kEndpointError);
+  CHECK(responses[0].value.empty());
+}
+
+// Guards against any mixture of responses, copies and noise, cut anywhere, in which a search gets another
+// search's response.
+TEST_CASE("a search is served only its own response, whatever its endpoint sends") {
+  constexpr unsigned kSeeds = 5000;
+  constexpr int kSearches = 6;
+  unsigned served = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    RandomConnection connection(seed);
+    for (int search = 0; search < kSearches && connection.usable(); ++search) {
+      std::string name = "s-" + std::to_string(search) + ".0.0";
+      for (const net::EndpointResponse& response : connection.Exchange(name)) {
+        CHECK(response.id == name);
+        bool own = response.cause != Cause::kServed || response.value == BodyWithHit(name);
+        CHECK(own);
+        served += response.cause == Cause::kServed ? 1 : 0;
+      }
+    }
+  }
+  CHECK(served > kSeeds);
+}
