Keep a retry from its connection only after a rejection, not after an error

Cause, as far as read: a retry after 'broke' could no longer use the connection on which the answer had come, and waited for a new one.

Ruled out: that the rule on repeats needs the exclusion after 'broke'. A copy of 'broke' ends the retry as an error after which it may have run, and a class that must not be repeated is not retried after it. Only a copy of 'skipped' claims that it never ran.

Change: a connection remembers rejected ids alone.

--- a/src/net/endpoint_connection.cpp
+++ b/src/net/endpoint_connection.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t kMaxAbandonedResponses = 64;
-constexpr std::size_t kMaxFailedIds = 64;  // a second copy follows its response closely
+constexpr std::size_t kMaxRejectedIds = 64;  // a second copy follows its response closely
 
 }  // namespace
 
@@ -17,7 +17,7 @@
 
 bool EndpointConnection::MayReceiveResponse(const std::string& id) const {
   return std::ranges::find(abandoned_ids, id) != abandoned_ids.end() ||
-         std::ranges::find(failed_ids, id) != failed_ids.end() ||
+         std::ranges::find(rejected_ids, id) != rejected_ids.end() ||
          std::ranges::find(in_flight, id, &InFlightRequest::id) != in_flight.end();
 }
 
@@ -25,9 +25,9 @@
   std::erase_if(in_flight, [&key](const InFlightRequest& request) { return request.key == key; });
 }
 
-void EndpointConnection::RecordFailed(std::string id) {
-  if (failed_ids.size() >= kMaxFailedIds) failed_ids.pop_front();
-  failed_ids.push_back(std::move(id));
+void EndpointConnection::RecordRejected(std::string id) {
+  if (rejected_ids.size() >= kMaxRejectedIds) rejected_ids.pop_front();
+  rejected_ids.push_back(std::move(id));
 }
 
 void EndpointConnection::AbandonResponse(std::string id) {
--- a/src/net/endpoint_connection.h
+++ b/src/net/endpoint_connection.h
@@ -42,7 +42,7 @@
   std::deque<InFlightRequest> in_flight;  // including those in the frame being written; oldest first
   std::deque<std::string> abandoned_ids;  // of attempts that ended while their response could still arrive
   bool retired = false;                   // too many abandoned ids: it takes no new requests
-  std::deque<std::string> failed_ids;     // of the last attempts that were answered, but not served
+  std::deque<std::string> rejected_ids;   // of the last attempts that were rejected
 
   std::unique_ptr<ResponseReader> reader;
   std::string received;  // bytes of a response that is not complete
@@ -63,8 +63,8 @@
   // second copy of its response follows. The id must not be used again here, since that response could be
   // taken for the new request's: one that reports a rejection would let a request that runs be sent again.
   bool MayReceiveResponse(const std::string& id) const;
-  // Records that the request with this id was answered without being served, so that it may be sent again.
-  void RecordFailed(std::string id);
+  // Records that the request with this id was rejected without being run.
+  void RecordRejected(std::string id);
   // Whether bytes have been received that belong to no request: a frame that has begun although no response
   // is due. A response to the next request would be decoded as the rest of it.
   bool HasUnrequestedBytes() const { return !received.empty() && in_flight.empty() && abandoned_ids.empty(); }
