Reword two comments of the endpoint protocols

Need: words of the earlier house style, and a sentence that had to be read twice.

Change: comments only.

--- a/src/net/endpoint_protocol.h
+++ b/src/net/endpoint_protocol.h
@@ -23,10 +23,10 @@
 
 // What the bytes received on a connection mean for its further use.
 enum class DecodeStatus {
-  kOk,            // it carries further requests
+  kOk,            // it carries more requests
   kLastResponse,  // the endpoint closes it after the response that was decoded
-  // The response does not name its request, so a second copy of it could not be told from the response to a
-  // further request on this connection.
+  // The response does not name its request: a second copy of it could be mistaken for the response to the
+  // next request on this connection.
   kUnnamed,
   // Violations of the protocol: nothing else on the connection can be trusted.
   kMalformed,    // the bytes are no response
--- a/src/opensearch/endpoint_protocol.h
+++ b/src/opensearch/endpoint_protocol.h
@@ -1,7 +1,7 @@
 // The protocol to endpoints that speak the search API: HTTP, with one request at a time on a connection and
 // one shard in each request. Each request carries its attempt's id as X-Opaque-Id, which servers of this API
-// repeat in the response; a connection whose response lacks it carries no further request. Any thread; a
-// reader belongs to one connection.
+// repeat in the response; a connection whose response lacks it is closed. Any thread; a reader belongs to
+// one connection.
 #ifndef LIFTRUDDER_OPENSEARCH_ENDPOINT_PROTOCOL_H_
 #define LIFTRUDDER_OPENSEARCH_ENDPOINT_PROTOCOL_H_
 
