Run the test of abandoned TLS handshakes on a stopped clock

Cause: the test's server had the real clock. A handshake that is open in a pause of more than the 2 s allowed for a first request times out, as it should, and is closed without counting as an eviction. Up to ten are open at any time.

Change: the server of this test has a clock that does not advance, so no handshake times out.

--- a/tests/net/tls_server_test.cpp
+++ b/tests/net/tls_server_test.cpp
@@ -37,14 +37,14 @@
   }
 };
 
-// A TLS server on its own port.
+// A TLS server on its own port. Its time limits follow `server_clock` where that is given.
 struct TlsServerFixture {
-  explicit TlsServerFixture(int max_connections) {
+  explicit TlsServerFixture(int max_connections, const coordinator::Clock* server_clock = nullptr) {
     reloadable_context.Set(
         MakeContext({{KeyPairOf(issuer.Issue("a", "DNS:a.example", "serverAuth"))}, "", "", false}, clock));
     net::Fd listener = net::Listen("127.0.0.1:0");
     addr = net::LocalAddress(listener);
-    server.emplace(std::move(listener), handler, clock, counters,
+    server.emplace(std::move(listener), handler, server_clock == nullptr ? clock : *server_clock, counters,
                    net::ServerLimits{max_connections, max_connections}, &reloadable_context);
   }
   CertificateIssuer issuer{"issuer"};
@@ -78,10 +78,11 @@
 
 }  // namespace
 
-TEST_CASE("abandoned handshakes hold at most a quarter of the connections while others are served",
-          "[.][known-red]") {
+TEST_CASE("abandoned handshakes hold at most a quarter of the connections while others are served") {
   constexpr int kMaxConnections = 40, kAbandoned = 500;
-  TlsServerFixture fixture(kMaxConnections);
+  // Stopped: a handshake that timed out in a pause of the machine would be closed without an eviction.
+  tests::ManualClock stopped;
+  TlsServerFixture fixture(kMaxConnections, &stopped);
   const std::string& addr = fixture.addr;
   std::vector<net::Fd> abandoned;
   std::string at_client;
