Judge a response that the end of its connection completes like any other

Seen: on reading the change once more: a response without a length that names another search was not served, but counted as a lost connection and in no counter.

Cause: ResponseReader::End dropped the status that its response had. It returned nothing.

Change: End returns a DecodeStatus, and the pool closes the connection for it as after Decode.

--- a/src/net/endpoint_connection_io.cpp
+++ b/src/net/endpoint_connection_io.cpp
@@ -222,7 +222,7 @@
       status = connection.reader->Decode(connection.received, oldest, responses);
       if (connection.received.size() > kMaxIncompleteResponseBytes) status = DecodeStatus::kMalformed;
     }
-    if (read_status == IoStatus::kEnd) connection.reader->End(oldest, responses);
+    if (read_status == IoStatus::kEnd) status = connection.reader->End(oldest, responses);
   } catch (const std::exception& error) {
     log::Error("error while decoding a response from endpoint {}, closing its connection: {}",
                connection.addr, error.what());
--- a/src/net/endpoint_protocol.h
+++ b/src/net/endpoint_protocol.h
@@ -58,7 +58,9 @@
   virtual DecodeStatus Decode(std::string& in, const std::string& oldest,
                               std::vector<EndpointResponse>& out) = 0;
   // Called when the endpoint has closed the connection: appends the response that this completes, if any.
-  virtual void End(const std::string& /*oldest*/, std::vector<EndpointResponse>& /*out*/) {}
+  virtual DecodeStatus End(const std::string& /*oldest*/, std::vector<EndpointResponse>& /*out*/) {
+    return DecodeStatus::kOk;
+  }
 };
 
 class EndpointProtocol {
--- a/src/opensearch/endpoint_protocol.cpp
+++ b/src/opensearch/endpoint_protocol.cpp
@@ -33,8 +33,9 @@
     }
   }
 
-  void End(const std::string& oldest, std::vector<net::EndpointResponse>& out) override {
-    if (!oldest.empty() && parser_.End() == net::HttpParser::State::kDone) Finish(oldest, out);
+  net::DecodeStatus End(const std::string& oldest, std::vector<net::EndpointResponse>& out) override {
+    bool complete = !oldest.empty() && parser_.End() == net::HttpParser::State::kDone;
+    return complete ? Finish(oldest, out) : net::DecodeStatus::kOk;
   }
 
  private:
--- a/tests/opensearch/endpoint_protocol_test.cpp
+++ b/tests/opensearch/endpoint_protocol_test.cpp
@@ -167,6 +167,22 @@
   CHECK(fixture.counters.misnamed_responses.Value() == 1);
 }
 
+// Guards against counting a response of another search, ended by the close of its connection, as a lost
+// connection.
+TEST_CASE("a response without a length that names another search is a violation") {
+  SearchFixture fixture;
+  fixture.Send(0);
+  net::Fd endpoint = fixture.AcceptAndRead(0);
+  net::WriteAll(endpoint, "HTTP/1.1 200 OK\r\nX-Opaque-Id: other\r\n\r\n" + BodyWithHit("piano"),
+                kTestTimeoutUs);
+  endpoint = {};
+  coordinator::AttemptResult result = fixture.WaitForResult(0);
+  CHECK(result.value.empty());
+  CHECK(coordinator::OutcomeOf(result.progress, result.cause) == coordinator::AttemptOutcome::kError);
+  fixture.pool.reset();
+  CHECK(fixture.counters.misnamed_responses.Value() == 1);
+}
+
 // Guards against the same copy from a server that does not repeat X-Opaque-Id.
 TEST_CASE("a connection whose response does not name its search takes no further one") {
   SearchFixture fixture;
