Fail a keyed query that may have run if its client could repeat it too late

Callers saw 429 with Retry-After for a query with an idempotency key one of whose shard requests had been sent and may have run.

Cause: CompletionPolicy::MayReject looked at the attempts for non-idempotent classes only. Ruled out by reading: 503 at the limits and 429 of the search API (nothing is sent by then, or the class is idempotent), shutdown (it rejects no query).

Change: a query is rejected only if nothing of it can have run, or if its client stops repeating it before a repeat would be too late. The comparison uses the end of the class's client timeout, since clients may repeat until then. The fetch phase had the same fault. LatestRepeatUs is the one place that has the window.

--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -32,6 +32,7 @@
   query.id = event.id;
   query.number = event.query_number;
   query.class_index = static_cast<std::size_t>(event.class_index);
+  query.received_us = now;
   query.deadline_us = now + event.timeout_remaining_us;
   const QueryClassSettings& cls = settings_.classes[query.class_index];
   Micros elapsed_before_us = ElapsedBeforeArrivalUs(event, cls);
--- a/src/routing/completion_policy.cpp
+++ b/src/routing/completion_policy.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/retry_policy.h"
+
 namespace liftrudder::routing {
 namespace {
 
@@ -91,11 +93,29 @@
 
 bool CompletionPolicy::MayReject(const Query& query, const QueryTable& queries, Micros now) const {
   if (now >= query.deadline_us) return false;
-  const QueryClassSettings& cls = settings_.classes[query.class_index];
-  if (cls.effect != Effect::kNonIdempotent) return true;
-  return query.phase == 1 && std::ranges::all_of(query.shard_requests, [&](Id id) {
-           return std::ranges::all_of(queries.ShardRequestAt(id).attempts, &Attempt::never_ran);
-         });
+  std::optional<Micros> first_run_us = FirstPossibleRunUs(query, queries);
+  if (!first_run_us) return true;
+  return ClientGivesUpUs(query) <= LatestRepeatUs(settings_.classes[query.class_index], *first_run_us);
+}
+
+// The earliest time at which something of the query may have begun to run; none if it provably never did.
+std::optional<Micros> CompletionPolicy::FirstPossibleRunUs(const Query& query, const QueryTable& queries) {
+  if (query.phase == 2) return query.received_us;  // the attempts of the first phase are no longer known
+  std::optional<Micros> first_us;
+  for (Id id : query.shard_requests) {
+    for (const Attempt& attempt : queries.ShardRequestAt(id).attempts) {
+      if (attempt.never_ran) continue;
+      first_us = std::min(first_us.value_or(attempt.sent_us), attempt.sent_us);
+    }
+  }
+  return first_us;
+}
+
+// The latest time at which the client still waits, repeats included. It has waited since before the query
+// arrived.
+Micros CompletionPolicy::ClientGivesUpUs(const Query& query) const {
+  Micros client_timeout_us = settings_.classes[query.class_index].client_timeout_us;
+  return std::max(query.deadline_us, query.received_us + client_timeout_us);
 }
 
 Micros CompletionPolicy::RetryAfterUs(double shedding_probability) const {
--- a/src/routing/completion_policy.h
+++ b/src/routing/completion_policy.h
@@ -38,6 +38,8 @@
   std::optional<Completion> Decide(const Query& query, const CompletionInputs& inputs) const;
 
   // Whether an abandoned query is rejected, which means that its client may safely repeat it, or else fails.
+  // It may if nothing of the query can have run, or if no repeat by its client can begin too late for its
+  // class (LatestRepeatUs). Clients repeat a query until their timeout ends, whatever Retry-After says.
   bool MayReject(const Query& query, const QueryTable& queries, Micros now) const;
 
   // The Retry-After of a rejected query; 0 where the settings allow none.
@@ -52,6 +54,8 @@
   bool IsExpired(const Query& query, Micros now) const {
     return now >= query.deadline_us - answer_margin_us_;
   }
+  static std::optional<Micros> FirstPossibleRunUs(const Query& query, const QueryTable& queries);
+  Micros ClientGivesUpUs(const Query& query) const;
   Completion ExpiredCompletion(const Query& query, Micros now) const;
   Micros PartialAnswerAtUs(const Query& query, double p90_latency_us) const;
 
--- a/src/routing/query_table.h
+++ b/src/routing/query_table.h
@@ -46,6 +46,7 @@
   Id id = 0;
   std::int64_t number = 0;
   std::size_t class_index = 0;
+  Micros received_us = 0;      // when the router was notified of it
   Micros objective_at_us = 0;  // end of the latency objective
   Micros deadline_us = 0;      // end of the client's timeout
   double value_factor = 1;     // below 1: late, or over its tenant's quota
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -1,14 +1,34 @@
 #include "routing/retry_policy.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace liftrudder::routing {
 
+namespace {
+
+// The process may be held up this long between a reading of the clock and the write that depends on it.
+constexpr Micros kMaxWriteDelayUs = 150'000;
+
+}  // namespace
+
 bool ProvesNotRun(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kOverloaded || outcome == AttemptOutcome::kConnectFailed ||
          outcome == AttemptOutcome::kNotSent;
 }
 
+Micros LatestRepeatUs(const QueryClassSettings& cls, Micros sent_us) {
+  switch (cls.effect) {
+    case Effect::kIdempotent:
+      return std::numeric_limits<Micros>::max();
+    case Effect::kIdempotencyKey:
+      return sent_us + cls.deduplication_window_us - kMaxWriteDelayUs;
+    case Effect::kNonIdempotent:
+      break;
+  }
+  return std::numeric_limits<Micros>::min();
+}
+
 PendingReason RetryPolicy::Forbids(const QueryClassSettings& cls, const ShardRequest& shard_request,
                                    bool query_known_safe, Micros now) const {
   // A request that was in flight at an endpoint when it crashed may have caused the crash. With unlimited
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -15,6 +15,11 @@
 // Whether the outcome proves that the endpoint did not start to work on the attempt.
 bool ProvesNotRun(AttemptOutcome outcome);
 
+// The latest time to begin to write a repeat of an attempt that was sent at `sent_us` and may have run: the
+// end of the class's deduplication window, less the time for which the process may be held up before the
+// write. The smallest Micros if the class may never be repeated, the largest if it always may.
+Micros LatestRepeatUs(const QueryClassSettings& cls, Micros sent_us);
+
 class RetryPolicy {
  public:
   // `settings` must outlive it.
--- a/tests/routing/completion_policy_test.cpp
+++ b/tests/routing/completion_policy_test.cpp
@@ -72,5 +72,62 @@
             received_at_us + kLatencyObjective * 95 / 100);  // a request answered before that still counts
 }
 
+// A class whose queries have no value after the objective, so that they are abandoned there.
+Settings KeyedSettings(Micros deduplication_window_us) {
+  Settings settings = BaseSettings();
+  for (QueryClassSettings& cls : settings.classes) {
+    cls.effect = Effect::kIdempotencyKey;
+    cls.late_value_fraction = 0;
+    cls.deduplication_window_us = deduplication_window_us;
+  }
+  return settings;
+}
+
+// Guards against a rejection that invites a repeat after the deduplication window, which runs a second time.
+TEST(CompletionPolicy, FailsAQueryThatMayHaveRunIfItsClientCouldRepeatItAfterTheWindow) {
+  RouterHarness harness(KeyedSettings(kLatencyObjective + 500 * kMs));
+  harness.ReceiveQuery(1, kCompleteOnly, {1});
+  harness.Advance(kLatencyObjective);
+  EXPECT_EQ(harness.LastActions<Fail>().size(), 1u);
+  EXPECT_TRUE(harness.LastActions<Reject>().empty());
+}
+
+TEST(CompletionPolicy, RejectsAQueryThatMayHaveRunIfTheWindowOutlastsItsClient) {
+  RouterHarness harness(KeyedSettings(4 * kLatencyObjective));
+  harness.ReceiveQuery(1, kCompleteOnly, {1});
+  harness.Advance(kLatencyObjective);
+  EXPECT_EQ(harness.LastActions<Reject>().size(), 1u);
+}
+
+// The time for which a client waits is the class's or, if that is longer, the one that it stated.
+TEST(CompletionPolicy, CountsTheTimeThatTheClientStatedWhenItIsLonger) {
+  RouterHarness harness(KeyedSettings(4 * kLatencyObjective));
+  harness.ReceiveQuery(1, kCompleteOnly, {1}, 6 * kLatencyObjective);
+  harness.Advance(kLatencyObjective);
+  EXPECT_EQ(harness.LastActions<Fail>().size(), 1u);
+}
+
+TEST(CompletionPolicy, RejectsAKeyedQueryWhoseAttemptsProvablyNeverRan) {
+  RouterHarness harness(KeyedSettings(kLatencyObjective / 2));
+  harness.ReceiveQuery(1, kCompleteOnly, {1});
+  for (int attempt = 0; attempt < 4; ++attempt) harness.Finish(100, attempt, AttemptOutcome::kOverloaded);
+  EXPECT_EQ(harness.LastActions<Reject>().size(), 1u);
+}
+
+// The first phase has run, although no attempt of the fetch phase has.
+TEST(CompletionPolicy, FailsAKeyedQueryInItsFetchPhaseIfItsClientCouldRepeatItAfterTheWindow) {
+  RouterHarness harness(KeyedSettings(kLatencyObjective));
+  harness.ReceiveQuery(1, kTwoPhases, {0.6, 0.4}, 3 * kLatencyObjective);
+  harness.now += 50 * kMs;
+  harness.FinishAll();
+  harness.Handle({ShardRequestReceived{201, 1, 0, 0.5, 0, 0}, ShardRequestReceived{202, 1, 1, 0.5, 0, 0}});
+  for (int attempt = 0; attempt < 4; ++attempt) {
+    harness.Finish(201, attempt, AttemptOutcome::kOverloaded);
+    harness.Finish(202, attempt, AttemptOutcome::kOverloaded);
+  }
+  EXPECT_EQ(harness.LastActions<Fail>().size(), 1u);
+  EXPECT_TRUE(harness.LastActions<Reject>().empty());
+}
+
 }  // namespace
 }  // namespace liftrudder::routing
