Send no repeat after its deduplication window, whatever it waited for

Reproduced first: with an endpoint whose connections stay pending, the program before this commit wrote a repeat at its next SYN, after a window of 0.7 s (scenario.late_repeat: "unexpected message: qq1.0 0 d=57919,k=k-1").

Cause: the window was compared when the retry was decided (RetryPolicy::MayRepeat); the connection pool, where the attempt waits, knew only the query's deadline. Ruled out: the time from which the window counts (the decision, before the write), and attempts taken for never run (each needs a frame without its last byte, or a 'skipped').

Change: each Send carries the latest time to send it (LatestSendUs, the one place of the rule, 0.15 s before the window ends); the pool compares it before the first byte, the coordinator ends an attempt that still waits, and a repeat partly written then loses its connection. Cause repeat_too_late and a log line that names the request.

Tests seen to fail without the change: scenario.late_repeat (program before), "an attempt that waits for a connection ...", "a repeat that is partly written ..." (check taken out).

--- a/src/coordinator/action_dispatch.cpp
+++ b/src/coordinator/action_dispatch.cpp
@@ -10,6 +10,7 @@
   attempt.endpoint = send.endpoint;
   attempt.sent_us = now_us_;
   attempt.attempt_deadline_us = now_us_ + send.timeout_us;
+  attempt.latest_send_us = now_us_ + send.send_within_us.value_or(send.timeout_us);
   int number = in_flight_.AddAttempt(*shard_request, attempt);
 
   AttemptRequest request;
@@ -18,6 +19,7 @@
   request.shard = shard_request->request.shard;
   request.class_index = shard_request->class_index;
   request.attempt_deadline_us = attempt.attempt_deadline_us;
+  request.latest_send_us = attempt.latest_send_us;
   request.payload = shard_request->payload;
   recording_.RecordSent(*shard_request, number, send);
   counters_.attempts_sent.Add();
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -57,11 +57,13 @@
   }
 }
 
-// The results of expired attempts arrive as inputs of a later round.
+// Also ends repeats that have waited past the end of their deduplication window. The results arrive as inputs
+// of a later round.
 void Coordinator::ExpireAttempts() {
   for (const ExpiredAttempt& expired : in_flight_.TakeExpired(now_us_)) {
     transport_->CancelAttempt(expired.key, expired.endpoint, Cause::kExpired);
   }
+  for (const AttemptKey& key : in_flight_.TakePastLatestSend(now_us_)) transport_->EndIfUnsent(key);
 }
 
 void Coordinator::FinishRound(std::uint64_t refresh_number) {
--- a/src/coordinator/event_intake.cpp
+++ b/src/coordinator/event_intake.cpp
@@ -2,8 +2,17 @@
 #include <algorithm>
 
 #include "coordinator/coordinator.h"
+#include "log/log.h"
 
 namespace liftrudder::coordinator {
+namespace {
+
+void LogRepeatTooLate(const InFlightShardRequest& shard_request, int attempt) {
+  log::Info("{}.{} was not repeated: attempt {} waited until the deduplication window was over",
+            shard_request.payload->call_id, shard_request.request.shard, attempt);
+}
+
+}  // namespace
 
 void Coordinator::HandleInput(QueryArrival& arrival) {
   const QueryRequest& request = arrival.request;
@@ -44,6 +53,7 @@
   // Copied because FinishAttempt may drop the shard request together with its last attempt.
   Id query = shard_request->query;
   int index = shard_request->index;
+  if (result.cause == Cause::kRepeatTooLate) LogRepeatTooLate(*shard_request, result.key.attempt);
   Progress progress = result.progress;
   Cause cause = result.cause;
   auto finished = in_flight_.FinishAttempt(std::move(result), now_us_);
--- a/src/coordinator/in_flight_table.cpp
+++ b/src/coordinator/in_flight_table.cpp
@@ -35,6 +35,9 @@
   int number = static_cast<int>(shard_request.attempts.size());
   shard_request.attempts.push_back(attempt);
   expiries_.insert({attempt.attempt_deadline_us, {shard_request.id, number}});
+  if (attempt.latest_send_us < attempt.attempt_deadline_us) {
+    latest_sends_.insert({attempt.latest_send_us, {shard_request.id, number}});
+  }
   return number;
 }
 
@@ -49,6 +52,7 @@
   InFlightAttempt& attempt = shard_request.attempts[number];
   attempt.in_flight = false;
   expiries_.erase({attempt.attempt_deadline_us, result.key});
+  latest_sends_.erase({attempt.latest_send_us, result.key});
 
   routing::AttemptFinished finished;
   finished.shard_request = result.key.shard_request;
@@ -76,8 +80,20 @@
   return expired;
 }
 
+std::vector<AttemptKey> InFlightTable::TakePastLatestSend(Micros now_us) {
+  std::vector<AttemptKey> keys;
+  while (!latest_sends_.empty() && latest_sends_.begin()->deadline_us <= now_us) {
+    keys.push_back(latest_sends_.begin()->key);
+    latest_sends_.erase(latest_sends_.begin());
+  }
+  return keys;
+}
+
 Micros InFlightTable::NextExpiry() const {
-  return expiries_.empty() ? std::numeric_limits<Micros>::max() : expiries_.begin()->deadline_us;
+  Micros next_us = std::numeric_limits<Micros>::max();
+  if (!expiries_.empty()) next_us = expiries_.begin()->deadline_us;
+  if (!latest_sends_.empty()) next_us = std::min(next_us, latest_sends_.begin()->deadline_us);
+  return next_us;
 }
 
 std::vector<ShardResponse> InFlightTable::RemoveQuery(Id id) {
--- a/src/coordinator/in_flight_table.h
+++ b/src/coordinator/in_flight_table.h
@@ -22,6 +22,7 @@
   EndpointId endpoint;
   Micros sent_us = 0;
   Micros attempt_deadline_us = 0;
+  Micros latest_send_us = 0;  // AttemptRequest::latest_send_us
   bool in_flight = true;
 };
 
@@ -66,7 +67,11 @@
 
   // Returns the attempts whose deadline has passed by `now_us`, each of them once.
   std::vector<ExpiredAttempt> TakeExpired(Micros now_us);
-  // The earliest deadline of an attempt in flight; the largest Micros when there is none.
+  // Returns the attempts in flight that had to be sent by `now_us`, before their deadline, each of them once;
+  // whether they have been sent is unknown here.
+  std::vector<AttemptKey> TakePastLatestSend(Micros now_us);
+  // The earliest time that TakeExpired or TakePastLatestSend waits for; the largest Micros when there is
+  // none.
   Micros NextExpiry() const;
 
   // Removes a query and returns the responses that have arrived, in the order of its shard requests.
@@ -84,7 +89,8 @@
 
   std::map<Id, InFlightQuery> queries_;
   std::map<Id, InFlightShardRequest> shard_requests_;
-  std::set<Expiry> expiries_;  // of attempts in flight that TakeExpired has not returned
+  std::set<Expiry> expiries_;      // of attempts in flight that TakeExpired has not returned
+  std::set<Expiry> latest_sends_;  // of attempts in flight that TakePastLatestSend has not returned
 };
 
 }  // namespace liftrudder::coordinator
--- a/src/coordinator/interfaces.h
+++ b/src/coordinator/interfaces.h
@@ -32,6 +32,8 @@
   // Asks the endpoint to cancel the attempt. The attempt ends when the endpoint confirms the cancellation, or
   // as it would have ended if no cancellation had been requested.
   virtual void RequestCancellation(const AttemptKey& key) = 0;
+  // Ends the attempt now with Cause::kRepeatTooLate if its first byte has not been written.
+  virtual void EndIfUnsent(const AttemptKey& key) = 0;
   // Closes the endpoint's connections that carry no attempt.
   virtual void CloseIdle(const EndpointId& endpoint) = 0;
   // Releases the resources held for endpoints that are draining or removed and have no attempt in flight.
--- a/src/coordinator/messages.cpp
+++ b/src/coordinator/messages.cpp
@@ -24,6 +24,7 @@
       return partly_written ? AttemptOutcome::kTimeout : AttemptOutcome::kNotSent;
     case Cause::kStale:
     case Cause::kClientDisconnected:
+    case Cause::kRepeatTooLate:
       return AttemptOutcome::kNotSent;
   }
   return AttemptOutcome::kError;
--- a/src/coordinator/messages.h
+++ b/src/coordinator/messages.h
@@ -99,6 +99,9 @@
   int shard = 0;
   int class_index = 0;
   Micros attempt_deadline_us = 0;
+  // The attempt must not be sent from then on. The deadline, or earlier for a repeat within a deduplication
+  // window.
+  Micros latest_send_us = 0;
   std::shared_ptr<const Payload> payload;
 };
 
--- a/src/decision_log/attempt_result.h
+++ b/src/decision_log/attempt_result.h
@@ -25,6 +25,7 @@
   kExpired,             // its attempt deadline passed
   kStale,               // not written: its deadline had passed, or the endpoint was draining
   kClientDisconnected,  // not written: its client had disconnected
+  kRepeatTooLate,       // not written: a repeat, and the deduplication window was over
 };
 
 }  // namespace liftrudder::decision_log
--- a/src/decision_log/reason_text.cpp
+++ b/src/decision_log/reason_text.cpp
@@ -85,6 +85,8 @@
       return "it was not sent, as its deadline had passed or the endpoint was draining";
     case Cause::kClientDisconnected:
       return "it was not sent, as its client had disconnected";
+    case Cause::kRepeatTooLate:
+      return "it was not sent, as an earlier attempt may have run and its deduplication window was over";
   }
   return "it ended in a way this program does not know";
 }
--- a/src/decision_log/record_format_check.cpp
+++ b/src/decision_log/record_format_check.cpp
@@ -46,7 +46,7 @@
                         Progress::kAnswering}));
 static_assert(Numbered({Cause::kServed, Cause::kEndpointError, Cause::kEndpointRejected,
                         Cause::kInvalidResponse, Cause::kConnectionLost, Cause::kCancelled, Cause::kExpired,
-                        Cause::kStale, Cause::kClientDisconnected}));
+                        Cause::kStale, Cause::kClientDisconnected, Cause::kRepeatTooLate}));
 
 using routing::AttemptOutcome;
 using routing::CancelReason;
--- a/src/decision_log/wire_names.h
+++ b/src/decision_log/wire_names.h
@@ -25,8 +25,9 @@
                                                                 "msearch"};
 inline constexpr std::array<std::string_view, 4> kProgressNames = {"not_connected", "partly_written",
                                                                    "wholly_written", "answering"};
-inline constexpr std::array<std::string_view, 9> kCauseNames = {
-    "served", "broke", "skipped", "spoilt", "connection_lost", "withdrawn", "expired", "stale", "left"};
+inline constexpr std::array<std::string_view, 10> kCauseNames = {
+    "served",    "broke",   "skipped", "spoilt", "connection_lost",
+    "withdrawn", "expired", "stale",   "left",   "repeat_too_late"};
 inline constexpr std::array<std::string_view, kAttemptOutcomes> kOutcomeNames = {
     "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"};
 inline constexpr std::array<std::string_view, 9> kEligibilityNames = {
--- a/src/net/endpoint_connection_io.cpp
+++ b/src/net/endpoint_connection_io.cpp
@@ -40,6 +40,7 @@
   bool removed = endpoint.id.empty();
   bool drained = endpoint.drain_notified_us > 0 && now_us >= endpoint.drain_notified_us;
   if (removed || drained || now_us >= request.attempt_deadline_us) return coordinator::Cause::kStale;
+  if (now_us >= request.latest_send_us) return coordinator::Cause::kRepeatTooLate;
   return std::nullopt;
 }
 
@@ -50,7 +51,13 @@
   Micros now_us = clock_.Now();
   connection.written_bytes = 0;
   connection.frame_attempts.push_back(key);
-  connection.write_deadline_us = now_us + kWriteTimeoutUs;
+  bool first = connection.frame_attempts.size() == 1;
+  if (first) connection.write_deadline_us = now_us + kWriteTimeoutUs;
+  // A repeat counts for its endpoint when its last byte arrives, which must not be after the window either.
+  bool is_limited_repeat = attempt.request.latest_send_us < attempt.request.attempt_deadline_us;
+  if (is_limited_repeat) {
+    connection.write_deadline_us = std::min(connection.write_deadline_us, attempt.request.latest_send_us);
+  }
   connection.last_used_us = now_us;
   connection.in_flight.push_back({protocol_.AttemptId(attempt.request), key});
   // Counts as partly written from here on; RemoveFromFrame undoes this while no byte has been written.
--- a/src/net/endpoint_connection_io.h
+++ b/src/net/endpoint_connection_io.h
@@ -23,8 +23,8 @@
                        EndpointConnectionTable& connections);
 
   // Why a request that has not begun to be written must not be sent: its client has disconnected, its
-  // endpoint was removed or is past its drain deadline, or the attempt's deadline has passed. Nullopt if it
-  // may be sent.
+  // endpoint was removed or is past its drain deadline, or the attempt's deadline or latest send time has
+  // passed. Nullopt if it may be sent.
   std::optional<coordinator::Cause> ReasonNotToSend(const coordinator::AttemptRequest& request) const;
 
   // Adds the attempt to the connection's next frame; Flush writes it.
--- a/src/net/endpoint_connection_pool.cpp
+++ b/src/net/endpoint_connection_pool.cpp
@@ -108,6 +108,15 @@
   if (protocol_cancels) io_.SendCancellation(attempt->connection, *connection, attempt_id);
 }
 
+void EndpointConnectionPool::EndIfUnsent(const coordinator::AttemptKey& key) {
+  std::lock_guard lock(mutex_);
+  Attempt* attempt = attempts_.Find(key);
+  if (attempt == nullptr) return;
+  EndpointConnection* connection = connections_.Find(attempt->connection);
+  bool started = connection != nullptr && connection->RequestStarted(key);
+  if (!started) Cancel(key, coordinator::Cause::kRepeatTooLate);
+}
+
 void EndpointConnectionPool::CloseIdle(const coordinator::EndpointId& endpoint) {
   std::lock_guard lock(mutex_);
   dispatcher_.CloseIdle(endpoint);
--- a/src/net/endpoint_connection_pool.h
+++ b/src/net/endpoint_connection_pool.h
@@ -49,6 +49,7 @@
   // it times out: an endpoint that does not read may never see the cancellation. Any other attempt is ended
   // before the call returns.
   void RequestCancellation(const coordinator::AttemptKey& key) override;
+  void EndIfUnsent(const coordinator::AttemptKey& key) override;
   void CloseIdle(const coordinator::EndpointId& endpoint) override;
   void ReleaseRemovedEndpoints() override;
   // Sets the number of connections that the pool may hold after the endpoint list has changed.
--- a/src/routing/actions.h
+++ b/src/routing/actions.h
@@ -3,6 +3,7 @@
 #define LIFTRUDDER_ROUTING_ACTIONS_H_
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 #include "routing/reasons.h"
@@ -16,6 +17,9 @@
   EndpointId endpoint;
   Micros timeout_us = 0;  // from now
   DispatchReason reason = {};
+  // From now: the attempt's first byte must be written within this time, or it must not be sent. None: until
+  // the timeout.
+  std::optional<Micros> send_within_us = {};
 };
 
 // Answer a query, or its first phase, with the shard requests answered so far.
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -29,6 +29,14 @@
   return std::numeric_limits<Micros>::min();
 }
 
+Micros LatestSendUs(const QueryClassSettings& cls, const ShardRequest& shard_request) {
+  Micros latest_us = std::numeric_limits<Micros>::max();
+  for (const Attempt& attempt : shard_request.attempts) {
+    if (!attempt.never_ran) latest_us = std::min(latest_us, LatestRepeatUs(cls, attempt.sent_us));
+  }
+  return latest_us;
+}
+
 PendingReason RetryPolicy::Forbids(const QueryClassSettings& cls, const ShardRequest& shard_request,
                                    bool query_known_safe, Micros now) const {
   // A request that was in flight at an endpoint when it crashed may have caused the crash. With unlimited
@@ -38,18 +46,7 @@
   if (static_cast<int>(shard_request.attempts.size()) >= settings_.max_attempts) {
     return PendingReason::kAttemptLimit;
   }
-  return MayRepeat(cls, shard_request, now) ? PendingReason::kNone : PendingReason::kNotRepeatable;
-}
-
-bool RetryPolicy::MayRepeat(const QueryClassSettings& cls, const ShardRequest& shard_request,
-                            Micros now) const {
-  for (const Attempt& attempt : shard_request.attempts) {
-    if (attempt.never_ran) continue;
-    if (cls.effect == Effect::kNonIdempotent) return false;
-    bool outside_window = now + answer_margin_us_ - attempt.sent_us > cls.deduplication_window_us;
-    if (cls.effect == Effect::kIdempotencyKey && outside_window) return false;
-  }
-  return true;
+  return now < LatestSendUs(cls, shard_request) ? PendingReason::kNone : PendingReason::kNotRepeatable;
 }
 
 bool RetryPolicy::WithinBudget(const SlidingWindow& arrivals, Micros now) {
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -20,11 +20,13 @@
 // write. The smallest Micros if the class may never be repeated, the largest if it always may.
 Micros LatestRepeatUs(const QueryClassSettings& cls, Micros sent_us);
 
+// The same for the next attempt of a shard request, after all its earlier ones.
+Micros LatestSendUs(const QueryClassSettings& cls, const ShardRequest& shard_request);
+
 class RetryPolicy {
  public:
   // `settings` must outlive it.
-  explicit RetryPolicy(const Settings& settings)
-      : settings_(settings), answer_margin_us_(AnswerMarginUs(settings)) {}
+  explicit RetryPolicy(const Settings& settings) : settings_(settings) {}
 
   // Why the request must not be retried, regardless of the budget: kPoisonQuery, kAttemptLimit or
   // kNotRepeatable; kNone if it may be. `query_known_safe`: Query::known_safe.
@@ -38,10 +40,7 @@
   void RecordAttempt(Micros now) { retries_.Add(now); }
 
  private:
-  bool MayRepeat(const QueryClassSettings& cls, const ShardRequest& shard_request, Micros now) const;
-
   const Settings& settings_;
-  Micros answer_margin_us_;
   SlidingWindow retries_;  // hedged requests included
 };
 
--- a/src/routing/router_dispatch.cpp
+++ b/src/routing/router_dispatch.cpp
@@ -83,9 +83,13 @@
   attempt.endpoint = endpoint.endpoint.id;
   attempt.sent_us = now;
   attempt.in_flight_at_endpoint = static_cast<int>(endpoint.in_flight.size());
+  Send send{shard_request.id, endpoint.endpoint.id};
+  send.timeout_us = query.deadline_us - answer_margin_us - now;
+  Micros send_within_us = LatestSendUs(settings.classes[query.class_index], shard_request) - now;
+  if (send_within_us < send.timeout_us) send.send_within_us = send_within_us;
+  send.reason = reason;
   shard_request.attempts.push_back(attempt);
-  Micros timeout_us = query.deadline_us - answer_margin_us - now;
-  actions->push_back(Send{shard_request.id, endpoint.endpoint.id, timeout_us, reason});
+  actions->push_back(send);
 }
 
 std::optional<PendingCause> Router::State::FindPendingCause(const Query& query,
--- a/tests/net/endpoint_connection_pool_test.cpp
+++ b/tests/net/endpoint_connection_pool_test.cpp
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/connection_pool_fixture.h"
@@ -49,6 +50,59 @@
   }
 }
 
+// Guards against a repeat that waits for a connection and is written after its deduplication window.
+TEST_CASE("an attempt that waits for a connection is not sent after its latest send time") {
+  net::ConnectionLimits limits;
+  limits.max_connections = limits.streams_per_connection = 1;
+  ConnectionPoolFixture fixture(1, limits);
+  fixture.Send(0);
+  net::Fd endpoint = fixture.AcceptAndRead(0);
+  fixture.send_within_us = 50'000;
+  fixture.Send(0);
+  net::Micros latest_send_us = fixture.clock.Now() + 50'000;
+  while (fixture.clock.Now() <= latest_send_us) net::Readable(endpoint.Get(), 1'000);
+  net::WriteAll(endpoint, ServedResponse(1), kTestTimeoutUs);
+  fixture.WaitForResult(1);
+  coordinator::AttemptResult first = fixture.results[0];
+  coordinator::AttemptResult repeat = fixture.results[1];
+  if (repeat.key.shard_request == 1) std::swap(first, repeat);
+  CHECK(first.cause == Cause::kServed);
+  CHECK(repeat.cause == Cause::kRepeatTooLate);
+  CHECK(coordinator::OutcomeOf(repeat.progress, repeat.cause) == AttemptOutcome::kNotSent);
+  fixture.pool.reset();
+  std::string more;
+  CHECK(net::ReadSome(endpoint, more, kTestTimeoutUs) == net::IoStatus::kEnd);
+  CHECK(more.empty());
+}
+
+TEST_CASE("an attempt is ended at its latest send time only if nothing of it has been written") {
+  net::ConnectionLimits limits;
+  limits.max_connections = limits.streams_per_connection = 1;
+  ConnectionPoolFixture fixture(1, limits);
+  fixture.Send(0);
+  net::Fd endpoint = fixture.AcceptAndRead(0);
+  fixture.Send(0);
+  fixture.pool->EndIfUnsent({1, 0});
+  fixture.pool->EndIfUnsent({2, 0});
+  CHECK(fixture.WaitForResult(0).cause == Cause::kRepeatTooLate);
+  net::WriteAll(endpoint, ServedResponse(1), kTestTimeoutUs);
+  CHECK(fixture.WaitForResult(1).cause == Cause::kServed);
+}
+
+// Guards against a repeat whose last byte reaches its endpoint after the deduplication window.
+TEST_CASE("a repeat that is partly written at its latest send time does not reach its end") {
+  ConnectionPoolFixture fixture(2, {});
+  fixture.statement.assign(tests::kMoreThanSocketBuffersHold, ' ');
+  fixture.Send(0);
+  net::Fd unlimited = fixture.AcceptAndRead(0);
+  fixture.send_within_us = 100'000;
+  fixture.Send(1);
+  net::Fd limited = fixture.AcceptAndRead(1);
+  coordinator::AttemptResult repeat = fixture.WaitForResult(0);
+  CHECK(repeat.key.shard_request == 2);  // the other one may be written for longer
+  CHECK(coordinator::OutcomeOf(repeat.progress, repeat.cause) == AttemptOutcome::kConnectFailed);
+}
+
 TEST_CASE(
     "the requests of one round for one endpoint share a frame, without those whose client disconnected") {
   net::ConnectionLimits limits;
--- a/tests/routing/retry_policy_test.cpp
+++ b/tests/routing/retry_policy_test.cpp
@@ -35,6 +35,43 @@
   EXPECT_EQ(outside.AttemptCount(100), 1);
 }
 
+// Guards against a repeat that is decided within the deduplication window and written after it.
+TEST(RetryPolicy, StatesTheLatestTimeToSendARepeat) {
+  constexpr Micros kWindow = 1000 * kMs, kMaxHold = 150 * kMs;
+  Settings settings = BaseSettings();
+  settings.hedging_allowed = false;
+  settings.classes[0].effect = Effect::kIdempotencyKey;
+  settings.classes[0].deduplication_window_us = kWindow;
+  RouterHarness harness(settings);
+  Micros first_sent_us = harness.now;
+  harness.ReceiveQuery(1, kCompleteOnly, {1});
+  EXPECT_FALSE(harness.sent[0].send.send_within_us);
+  harness.now += 100 * kMs;
+  harness.Finish(100, 0, AttemptOutcome::kOverloaded);
+  EXPECT_FALSE(harness.sent[1].send.send_within_us);  // the first provably never ran
+  Micros second_sent_us = harness.now;
+  harness.now += 300 * kMs;
+  harness.Finish(100, 1, AttemptOutcome::kError);
+  ASSERT_TRUE(harness.sent[2].send.send_within_us);
+  EXPECT_EQ(harness.now + *harness.sent[2].send.send_within_us, second_sent_us + kWindow - kMaxHold);
+  EXPECT_LT(first_sent_us, second_sent_us);
+}
+
+TEST(RetryPolicy, FailsAQueryAtOnceWhoseRepeatWasNotSentInItsWindow) {
+  Settings settings = BaseSettings();
+  settings.hedging_allowed = false;
+  settings.classes[0].effect = Effect::kIdempotencyKey;
+  settings.classes[0].deduplication_window_us = 500 * kMs;
+  RouterHarness harness(settings);
+  harness.ReceiveQuery(1, kCompleteOnly, {1});
+  harness.now += 100 * kMs;
+  harness.Finish(100, 0, AttemptOutcome::kError);
+  harness.now += 250 * kMs;
+  harness.Finish(100, 1, AttemptOutcome::kNotSent);
+  EXPECT_EQ(harness.AttemptCount(100), 2);
+  EXPECT_EQ(harness.LastActions<Fail>().size(), 1u);
+}
+
 TEST(RetryPolicy, KeepsWithinTheRetryBudget) {
   Settings settings = BaseSettings();
   settings.has_retry_budget = true;
--- a/tests/scenario/endpoint_statements.cpp
+++ b/tests/scenario/endpoint_statements.cpp
@@ -60,10 +60,15 @@
   peer.listener = net::Listen("127.0.0.1:0");
   peer.address = net::LocalAddress(peer.listener);
   if (state == "dead") peer.listener = net::Fd();
+  if (state == "late") FillBacklog(peer);
   config_["known"]["servers"].push_back(EndpointEntry(name, "ready"));
   if (child_ > 0) SendEndpointUpdate(name, "ready");
 }
 
+void Player::AdmitConnections(const Statement& statement) {
+  FindEndpoint(statement.subject).backlog_fillers.clear();
+}
+
 Json Player::EndpointEntry(const std::string& name, const std::string& state) const {
   const Peer& peer = endpoints_.at(name);
   return {{"id", name},        {"addr", peer.address}, {"zone", "dc1"}, {"kind", "k"},
--- a/tests/scenario/peer.cpp
+++ b/tests/scenario/peer.cpp
@@ -114,6 +114,13 @@
   if (kind == CloseKind::kDead) peer.listener = net::Fd();
 }
 
+void FillBacklog(Peer& peer) {
+  // A backlog of 0 holds one connection; the handshakes of all others stay incomplete.
+  constexpr int kFillers = 4;
+  ::listen(peer.listener.Get(), 0);
+  for (int i = 0; i < kFillers; ++i) peer.backlog_fillers.push_back(net::BeginConnect(peer.address));
+}
+
 Connection& ConnectionForFrame(Peer& peer, const std::string& frame) {
   const auto found = peer.shard_requests.find(frame.substr(1, frame.find(' ') - 1));
   const bool answers = frame.starts_with('a') && found != peer.shard_requests.end();
--- a/tests/scenario/peer.h
+++ b/tests/scenario/peer.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "net/http.h"
 #include "net/socket.h"
@@ -38,6 +39,8 @@
 
 struct Peer {
   net::Fd listener;  // none for clients
+  // Not empty while connections to the endpoint stay pending: these fill its backlog.
+  std::vector<net::Fd> backlog_fillers;
   std::string address;
   int cell = 0;                                       // of an endpoint; unused for others
   std::list<Connection> connections;                  // a list, so that pointers to them stay valid
@@ -55,6 +58,8 @@
 // What the program observes: a close, a reset, or a reset with the listener closed too.
 enum class CloseKind { kClose, kReset, kDead };
 void CloseAll(Peer& peer, CloseKind kind);
+// Keeps new connections to the peer pending, until its backlog_fillers are closed.
+void FillBacklog(Peer& peer);
 // The connection that a frame is sent on: a response goes to where its shard request was received, any other
 // frame to the connection of the last expected message.
 Connection& ConnectionForFrame(Peer& peer, const std::string& frame);
--- a/tests/scenario/player.cpp
+++ b/tests/scenario/player.cpp
@@ -44,6 +44,7 @@
   static const std::map<std::string, Handler> handlers = {
       {"set", &Player::Set},
       {"holder", &Player::AddEndpoint},
+      {"admit", &Player::AdmitConnections},
       {"zone", &Player::WriteZone},
       {"update", &Player::SendDnsUpdate},
       {"list", &Player::SendList},
@@ -146,7 +147,9 @@
   add_connections(discovery_);
   const WireKind endpoint_wire = serves_search_ ? WireKind::kHttp : WireKind::kFrames;
   for (auto& [name, endpoint] : endpoints_) {
-    add(endpoint.listener, [this, &peer = endpoint, endpoint_wire] { Accept(peer, endpoint_wire); });
+    if (endpoint.backlog_fillers.empty()) {
+      add(endpoint.listener, [this, &peer = endpoint, endpoint_wire] { Accept(peer, endpoint_wire); });
+    }
     add_connections(endpoint);
   }
   for (auto& [name, client] : clients_) add_connections(client);
--- a/tests/scenario/player.h
+++ b/tests/scenario/player.h
@@ -65,6 +65,7 @@
 
   // endpoint_statements.cpp: endpoints, and the discovery, zone file and DNS updates that announce them.
   void AddEndpoint(const Statement& statement);
+  void AdmitConnections(const Statement& statement);
   void WriteZone(const Statement& statement);
   void SendDnsUpdate(const Statement& statement);
   void SendList(const Statement& statement);
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -2,7 +2,9 @@
 // sockets. Lines that begin with # are comments.
 //
 //   set PATH JSON            sets a value of the configuration before the start (PATH is a JSON pointer)
-//   holder NAME CELL [STATE] adds a fake endpoint; STATE: ready, or dead (refuses connections)
+//   holder NAME CELL [STATE] adds a fake endpoint; STATE: ready, dead (refuses connections), or late
+//   (connections
+//                            to it stay pending until `admit NAME`)
 //   zone                     the endpoints added so far come from a zone file instead of discovery
 //   update C VERB HOLDER     client C adds or removes an endpoint by dynamic update; expect C "rcode 0"
 //   start platform|search    starts the program and waits until it is ready
--- a/tests/support/connection_pool_fixture.h
+++ b/tests/support/connection_pool_fixture.h
@@ -54,6 +54,7 @@
     request.endpoint = update->endpoints[static_cast<std::size_t>(endpoint)].id;
     request.shard = static_cast<int>(key.shard_request);
     request.attempt_deadline_us = clock.Now() + 60'000'000;
+    request.latest_send_us = clock.Now() + send_within_us.value_or(60'000'000);
     request.payload = std::make_shared<coordinator::Payload>(
         coordinator::Payload{"q", "", statement, "/", std::move(client)});
     pool->Start(std::move(request));
@@ -77,8 +78,9 @@
     return results.size();
   }
 
-  std::string statement = "text";  // of the attempts that Send starts
-  std::string received;            // the bytes read by the last AcceptAndRead
+  std::string statement = "text";             // of the attempts that Send starts
+  std::optional<net::Micros> send_within_us;  // of the attempts that Send starts; none: until their deadline
+  std::string received;                       // the bytes read by the last AcceptAndRead
   // Called on the pool's thread, under its lock, before it goes on after the end of an attempt.
   std::function<void()> before_result;
   std::vector<net::Fd> listeners;
