Look at the client's connection before the first byte of a shard request

Cause: only the reader thread marks a disconnection, on an event; the pool's check before the first byte asked for the mark. Change: that check looks at the client's socket (POLLRDHUP), which is detached under a lock before it is closed or reused.

Tests seen to fail before: three sections of "a look at the connection detects ..." and "the client's connection is looked at ...".

--- a/src/coordinator/messages.h
+++ b/src/coordinator/messages.h
@@ -35,8 +35,12 @@
 // requests whose first byte has not been sent by then are not sent at all. Thread-safe.
 class ClientPresence {
  public:
+  virtual ~ClientPresence() = default;
   void MarkDisconnected() { disconnected_ = true; }
+  // Whether the disconnection has been marked.
   bool Disconnected() const { return disconnected_; }
+  // The same, after a look at the connection where that is possible: its front may be behind. Must not block.
+  virtual bool CheckDisconnected() const { return Disconnected(); }
 
  private:
   std::atomic<bool> disconnected_{false};
--- a/src/net/endpoint_connection_io.cpp
+++ b/src/net/endpoint_connection_io.cpp
@@ -16,6 +16,11 @@
 constexpr int kMaxBrokenConnections = 2;
 constexpr int kMaxReadsPerTurn = 32;  // from one connection, of at most kReadBytes each
 
+bool ClientHasLeft(const coordinator::AttemptRequest& request) {
+  const auto& client = request.payload->client;
+  return client != nullptr && client->CheckDisconnected();
+}
+
 }  // namespace
 
 EndpointConnectionIo::EndpointConnectionIo(const EndpointProtocol& protocol,
@@ -115,13 +120,15 @@
 
 // Encodes the attempts that may still be sent; returns false if there are none. Called before each write
 // until the frame's first byte is written: while the frame waited for the socket, a client may have
-// disconnected, a deadline passed or the endpoint drained.
+// disconnected, a deadline passed or the endpoint drained. Looks at the clients' connections too, since the
+// front may not have handled a disconnection yet.
 bool EndpointConnectionIo::EncodeFrame(EndpointConnection& connection) {
   std::vector<const coordinator::AttemptRequest*> requests;
   for (const coordinator::AttemptKey& key : std::vector<coordinator::AttemptKey>(connection.frame_attempts)) {
     Attempt* attempt = attempts_.Find(key);
     std::optional<coordinator::Cause> reason = coordinator::Cause::kStale;
     if (attempt != nullptr) reason = ReasonNotToSend(attempt->request);
+    if (!reason && ClientHasLeft(attempt->request)) reason = coordinator::Cause::kClientDisconnected;
     if (!reason) {
       requests.push_back(&attempt->request);
       continue;
--- a/src/net/reply_waiter.h
+++ b/src/net/reply_waiter.h
@@ -11,6 +11,7 @@
 
 #include "coordinator/interfaces.h"
 #include "net/client_connection.h"
+#include "net/socket_presence.h"
 
 namespace liftrudder::net {
 
@@ -19,17 +20,19 @@
 class ReplyWaiter {
  public:
   // `rearm` makes the reader thread watch the connection again after an event that brought neither bytes nor
-  // the end.
-  explicit ReplyWaiter(std::function<void()> rearm) : rearm_(std::move(rearm)) {}
-  const std::shared_ptr<coordinator::ClientPresence>& client() const { return client_; }
+  // the end. `client_fd` is the client's socket, which must stay open until Detach.
+  ReplyWaiter(std::function<void()> rearm, int client_fd)
+      : rearm_(std::move(rearm)), client_(std::make_shared<SocketPresence>(client_fd)) {}
+  std::shared_ptr<coordinator::ClientPresence> client() const { return client_; }
+  // The request has been answered, or its connection is about to be closed.
+  void Detach() { client_->Detach(); }
   // Called by the reader thread on an event on the connection; wakes the worker, which checks the connection.
   void NotifyEvent(bool disconnected);
 
  private:
   friend class WaitingReply;
   const std::function<void()> rearm_;
-  const std::shared_ptr<coordinator::ClientPresence> client_ =
-      std::make_shared<coordinator::ClientPresence>();
+  const std::shared_ptr<SocketPresence> client_;
   std::mutex mutex_;  // guards event_pending_, and answer_ of the replies
   std::condition_variable changed_;
   bool event_pending_ = false;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -139,6 +139,7 @@
   session->request_deadline_us = session->phase_since_us + kIdleTimeoutUs;
   session->received_us = 0;
   session->parser = HttpParser(HttpParser::Kind::kRequest);
+  if (session->reply_waiter != nullptr) session->reply_waiter->Detach();
   session->reply_waiter = nullptr;
   AwaitReadable(*session);
 }
@@ -147,6 +148,7 @@
   std::lock_guard lock(mutex_);
   // The lingering closer may keep the descriptor open, and its events must not refer to a removed session.
   ::epoll_ctl(epoll_.Get(), EPOLL_CTL_DEL, session->connection.fd(), nullptr);
+  if (session->reply_waiter != nullptr) session->reply_waiter->Detach();
   ClientConnection connection = std::move(session->connection);
   busy_sessions_ -= session->phase == SessionPhase::kBusy ? 1 : 0;
   sessions_by_id_.erase(session->id);
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -71,7 +71,7 @@
   bool ReadRequest(SessionRef session);
   void Submit(SessionRef session);
   bool TrySubmit(SessionRef session);
-  std::shared_ptr<ReplyWaiter> NewReplyWaiter(SessionId id);
+  std::shared_ptr<ReplyWaiter> NewReplyWaiter(const ClientSession& session);
   void RejectConnection(ClientConnection connection);
   void RejectAndClose(SessionRef session, const HttpResponse& response);
 
--- a/src/net/server_reader.cpp
+++ b/src/net/server_reader.cpp
@@ -263,7 +263,7 @@
   if (!accepted) return false;
   ++busy_sessions_;
   session->phase = SessionPhase::kBusy;
-  session->reply_waiter = NewReplyWaiter(session->id);
+  session->reply_waiter = NewReplyWaiter(*session);
   AwaitReadable(*session);
   workers_.Submit(session);
   return true;
@@ -271,12 +271,13 @@
 
 // The callback holds the session's id instead of its descriptor, which may belong to another connection by
 // the time it is used.
-std::shared_ptr<ReplyWaiter> Server::NewReplyWaiter(SessionId id) {
-  return std::make_shared<ReplyWaiter>([this, id] {
+std::shared_ptr<ReplyWaiter> Server::NewReplyWaiter(const ClientSession& session) {
+  auto rearm = [this, id = session.id] {
     std::lock_guard lock(mutex_);
     auto found = sessions_by_id_.find(id);
     if (found != sessions_by_id_.end()) AwaitReadable(*found->second);
-  });
+  };
+  return std::make_shared<ReplyWaiter>(rearm, session.connection.fd());
 }
 
 void Server::RejectAndClose(SessionRef session, const HttpResponse& response) {
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -260,6 +260,11 @@
   return SocketState::kEnd;
 }
 
+bool PeerHungUp(int fd) {
+  constexpr PollEvents kHungUp = POLLRDHUP | POLLHUP | POLLERR;
+  return (PollUntil(fd, POLLRDHUP, 0) & kHungUp) != 0;
+}
+
 std::optional<std::size_t> Discard(const Fd& fd, std::size_t max_bytes) {
   std::size_t discarded = 0;
   while (discarded < max_bytes) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -104,6 +104,9 @@
 // What the next read would return, without waiting. An error counts as kEnd.
 SocketState Peek(int fd);
 
+// Whether the peer has closed or reset the connection, even if bytes that it sent before are unread.
+bool PeerHungUp(int fd);
+
 void ShutDown(const Fd& fd);
 void ShutDownWriting(const Fd& fd);
 // Bytes that have arrived can still be read, followed by the end of the connection.
--- a/tests/net/endpoint_connection_pool_test.cpp
+++ b/tests/net/endpoint_connection_pool_test.cpp
@@ -103,6 +103,17 @@
   CHECK(coordinator::OutcomeOf(repeat.progress, repeat.cause) == AttemptOutcome::kConnectFailed);
 }
 
+// Guards against a request that is sent for a client whose disconnection is not marked yet.
+TEST_CASE("the client's connection is looked at before the first byte of a request") {
+  class LeftUnnoticed : public coordinator::ClientPresence {
+   public:
+    bool CheckDisconnected() const override { return true; }
+  };
+  ConnectionPoolFixture fixture(1, {});
+  fixture.Send(0, std::make_shared<LeftUnnoticed>());
+  CHECK(fixture.WaitForResult(0).cause == Cause::kClientDisconnected);
+}
+
 TEST_CASE(
     "the requests of one round for one endpoint share a frame, without those whose client disconnected") {
   net::ConnectionLimits limits;
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -149,6 +149,42 @@
   AwaitCondition([&] { return presence->Disconnected(); });
 }
 
+// Guards against shard requests that are sent for a client that left while the reader thread was behind.
+TEST_CASE("a look at the connection detects a disconnection that the reader thread has not handled") {
+  ServerFixture fixture;
+  net::Fd client = net::Connect(fixture.addr, kTestTimeoutUs);
+  Send(client, Request("/held"));
+  fixture.handler.AwaitRequests(1);
+  auto presence = fixture.handler.reply_waiter()->client();
+  fixture.handler.BlockMalformed();
+  net::Fd malformed = net::Connect(fixture.addr, kTestTimeoutUs);
+  Send(malformed, "no request\r\n\r\n");
+  fixture.handler.AwaitMalformed();  // the reader thread is blocked
+  CHECK_FALSE(presence->CheckDisconnected());
+  SECTION("by closing") { client = net::Fd(); }
+  SECTION("by a reset") { Reset(client); }
+  SECTION("with bytes behind its request") {
+    Send(client, Request("/"));
+    client = net::Fd();
+  }
+  AwaitCondition([&] { return presence->CheckDisconnected(); });
+  CHECK_FALSE(presence->Disconnected());  // not marked by the reader thread
+}
+
+TEST_CASE("a request that has been answered does not look at its connection any more") {
+  ServerFixture fixture;
+  net::Fd client = net::Connect(fixture.addr, kTestTimeoutUs);
+  Send(client, Request("/"));
+  CHECK(ReadStatus(client) == 200);
+  auto first = fixture.handler.reply_waiter()->client();
+  Send(client, Request("/held"));
+  fixture.handler.AwaitRequests(2);
+  client = net::Fd();
+  auto second = fixture.handler.reply_waiter()->client();
+  AwaitCondition([&] { return second->CheckDisconnected(); });
+  CHECK_FALSE(first->CheckDisconnected());
+}
+
 TEST_CASE("a disconnection marked for one request is not inherited by the next on the connection") {
   ServerFixture fixture;
   net::Fd client = net::Connect(fixture.addr, kTestTimeoutUs);
