Reserve the id of a query whose client left until that client cannot wait any longer

Cause: QueryHandler released a query's id as soon as its client had left; its attempts may run on. Change: such an id stays reserved until the client's own timeout, or its class's, is over; a query with it is answered 409. Ids of answered queries stay free.

--- a/src/platform/query_handler.cpp
+++ b/src/platform/query_handler.cpp
@@ -115,20 +115,32 @@
   // The query has its own copy of what it needs, so the body is freed before the wait for the answer.
   request.body = std::string();
   const std::string call_id = query->payload->call_id;
-  if (!ReserveCallId(call_id)) {
+  const coordinator::Micros client_waits_until_us = ClientWaitsUntilUs(*query);
+  if (!call_ids_.Reserve(call_id, clock_.Now())) {
     return RejectAtIntake(request, decision_log::IntakeResult::kDuplicateId,
-                          ErrorResponse(409, "a query with this id is open"));
+                          ErrorResponse(409, "a query with this id is open, or its client has left"));
   }
   metrics::OperatorFigures::ClassFigures* class_figures = figures_.FindClass(query->class_index);
   figures_.requests_in_progress.Add();
   auto response = RunQuery(std::move(*query), exchange);
   figures_.requests_in_progress.Add(-1);
-  // The response is counted unless the client has disconnected or has sent more bytes before the answer.
-  if (response && !response->close) metrics::OperatorFigures::CountResponse(class_figures, response->status);
-  ReleaseCallId(call_id);
+  // Otherwise the client has disconnected, or has sent more bytes before the answer.
+  const bool answered = response && !response->close;
+  if (answered) metrics::OperatorFigures::CountResponse(class_figures, response->status);
+  if (answered) {
+    call_ids_.Release(call_id);
+  } else {
+    call_ids_.Retain(call_id, client_waits_until_us);
+  }
   return response;
 }
 
+// Until when the query's client waits at the latest, its retries included.
+coordinator::Micros QueryHandler::ClientWaitsUntilUs(const coordinator::QueryRequest& query) const {
+  const auto& query_class = config_.settings.classes[static_cast<std::size_t>(query.class_index)];
+  return std::max(query.deadline_us, query.received_us + query_class.client_timeout_us);
+}
+
 std::optional<net::HttpResponse> QueryHandler::RunQuery(coordinator::QueryRequest query,
                                                         const net::Exchange& exchange) {
   const coordinator::Micros deadline_us = query.deadline_us;
@@ -157,16 +169,6 @@
   return FinalResponse(reply->answer());
 }
 
-bool QueryHandler::ReserveCallId(const std::string& call_id) {
-  std::lock_guard lock(mutex_);
-  return call_ids_in_flight_.insert(call_id).second;
-}
-
-void QueryHandler::ReleaseCallId(const std::string& call_id) {
-  std::lock_guard lock(mutex_);
-  call_ids_in_flight_.erase(call_id);
-}
-
 net::HttpResponse QueryHandler::RejectAtIntake(const net::HttpMessage& request,
                                                decision_log::IntakeResult intake,
                                                net::HttpResponse response) {
--- a/src/platform/query_handler.h
+++ b/src/platform/query_handler.h
@@ -4,9 +4,7 @@
 #ifndef LIFTRUDDER_PLATFORM_QUERY_HANDLER_H_
 #define LIFTRUDDER_PLATFORM_QUERY_HANDLER_H_
 
-#include <mutex>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +14,7 @@
 #include "metrics/metrics.h"
 #include "metrics/operator_figures.h"
 #include "net/server.h"
+#include "platform/call_ids.h"
 
 namespace liftrudder::platform {
 
@@ -42,10 +41,7 @@
   // These return nullopt when the client has disconnected.
   std::optional<net::HttpResponse> HandleQuery(net::HttpMessage& request, const net::Exchange& exchange);
   std::optional<net::HttpResponse> RunQuery(coordinator::QueryRequest query, const net::Exchange& exchange);
-  // Returns false when a query with this call id is in flight. The attempt ids sent to endpoints are
-  // derived from the call id (FrameProtocol::AttemptId) and must be unique among queries in flight.
-  bool ReserveCallId(const std::string& call_id);
-  void ReleaseCallId(const std::string& call_id);
+  coordinator::Micros ClientWaitsUntilUs(const coordinator::QueryRequest& query) const;
   // Counts and records a request that did not become a query; returns `response`.
   net::HttpResponse RejectAtIntake(const net::HttpMessage& request, decision_log::IntakeResult intake,
                                    net::HttpResponse response);
@@ -57,8 +53,9 @@
   metrics::Counters& counters_;
   metrics::OperatorFigures& figures_;
   decision_log::ExplainService* const explain_service_;
-  std::mutex mutex_;
-  std::set<std::string> call_ids_in_flight_;  // guarded by mutex_
+  // The attempt ids sent to endpoints are derived from the call id (FrameProtocol::AttemptId) and must be
+  // unique among queries in flight.
+  CallIds call_ids_;
 };
 
 }  // namespace liftrudder::platform
