--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -219,6 +219,7 @@
         line.find_first_of(kForbiddenInHeader) != std::string_view::npos) {
       return HttpParseError::kHeader;
     }
+    if (message_.headers.size() == kMaxHeaderFields) return HttpParseError::kTooManyFields;
     message_.headers.emplace_back(line.substr(0, colon), Trim(line.substr(colon + 1)));
   }
   return ParseFraming();
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -15,6 +15,8 @@
 
 constexpr std::size_t kMaxHeadBytes = 16 * 1024;
 constexpr std::size_t kMaxBodyBytes = 64 * 1024;
+// A field takes some 70 bytes of memory, however few it has on the wire.
+constexpr std::size_t kMaxHeaderFields = 128;
 
 struct HttpMessage {
   std::string method;                                        // of a request
@@ -43,6 +45,7 @@
   kHeadTooLarge,   // over kMaxHeadBytes
   kStartLine,      // malformed request or status line, or a version other than HTTP/1.x
   kHeader,         // malformed header line
+  kTooManyFields,  // over kMaxHeaderFields
   kFraming,        // invalid, repeated or contradictory Content-Length and Transfer-Encoding
   kBodyTooLarge,   // over the body limit
   kChunk,          // malformed or overlong chunk header
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -28,6 +28,10 @@
   CHECK(ErrorOf("POST / HTTP/2\r\n\r\n") == HttpParseError::kStartLine);
   CHECK(ErrorOf("POST\r\n\r\n") == HttpParseError::kStartLine);
   CHECK(ErrorOf(line + "no colon\r\n\r\n") == HttpParseError::kHeader);
+  std::string fields;
+  for (std::size_t i = 0; i < net::kMaxHeaderFields; ++i) fields += "a:\r\n";
+  CHECK(ErrorOf(line + fields + "\r\n") == HttpParseError::kNone);
+  CHECK(ErrorOf(line + fields + "a:\r\n\r\n") == HttpParseError::kTooManyFields);
   CHECK(ErrorOf(line + "Content-Length: 1\r\nContent-Length: 1\r\n\r\n") == HttpParseError::kFraming);
   CHECK(ErrorOf(line + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") ==
         HttpParseError::kFraming);
