Send nothing on a connection to an earlier process at an endpoint's address

Shown in a play: discovery told of a restart, the connections to the process before stayed open and silent, and a query was written to one and had no answer within 3 s. Not shown: a new id with the old one told gone; a request that must not be repeated, open during the restart (it failed, not sent again).

Cause: RequestDispatcher::IsUsable compared the address alone. Change: a connection has the start time that was listed when it was opened, and is used while the list still has it.

Test seen to fail before: scenario.endpoint_restart (no second connection).

--- a/src/coordinator/endpoint_registry.cpp
+++ b/src/coordinator/endpoint_registry.cpp
@@ -63,6 +63,7 @@
   EndpointAddress& address = endpoints_[endpoint.id];
   address.id = entry.id;
   address.addr = entry.addr;
+  address.started_us = endpoint.started_us;
   if (endpoint.availability == routing::Availability::kReady) {
     address.drain_notified_us = 0;
   } else {
--- a/src/coordinator/interfaces.h
+++ b/src/coordinator/interfaces.h
@@ -41,8 +41,9 @@
 };
 
 struct EndpointAddress {
-  std::string id;    // the name in the endpoint list; empty: the endpoint is unknown
-  std::string addr;  // "host:port"
+  std::string id;         // the name in the endpoint list; empty: the endpoint is unknown
+  std::string addr;       // "host:port"
+  Micros started_us = 0;  // start time of its process, as listed; 0: long ago
   // When its draining or removal was first notified after it was last listed as ready; 0 if neither has been.
   // No attempt may start from that time on, not even within Settings::drain_grace_us.
   Micros drain_notified_us = 0;
--- a/src/net/endpoint_connection.h
+++ b/src/net/endpoint_connection.h
@@ -33,7 +33,8 @@
 struct EndpointConnection {
   EndpointQueue* queue = nullptr;  // outlives the connection
   Fd fd;
-  std::string addr;  // HOST:PORT that it was opened to
+  std::string addr;                // HOST:PORT that it was opened to
+  Micros endpoint_started_us = 0;  // start time of the process that was listed there then
   bool established = false;
   Micros connect_started_us = 0;
   Micros last_used_us = 0;      // a request was added or a response completed
--- a/src/net/endpoint_connection_table.cpp
+++ b/src/net/endpoint_connection_table.cpp
@@ -52,8 +52,8 @@
 
 EndpointConnectionTable::OpenResult EndpointConnectionTable::Open(EndpointQueue& queue) {
   if (AtCapacity() && !ReclaimIdle()) return OpenResult::kNoCapacity;
-  std::string addr = resolver_.Find(queue.endpoint).addr;
-  Fd fd = Connect(addr);
+  coordinator::EndpointAddress endpoint = resolver_.Find(queue.endpoint);
+  Fd fd = Connect(endpoint.addr);
   if (!fd.Valid() && OutOfDescriptors()) return OpenResult::kNoCapacity;
   if (!fd.Valid()) {
     counters_.connections_failed.Add();
@@ -63,7 +63,8 @@
   EndpointConnection& connection = connections_[id];
   connection.queue = &queue;
   connection.fd = std::move(fd);
-  connection.addr = std::move(addr);
+  connection.addr = std::move(endpoint.addr);
+  connection.endpoint_started_us = endpoint.started_us;
   connection.connect_started_us = clock_.Now();
   connection.reader = protocol_.NewReader();
   queue.connections.push_back(id);
--- a/src/net/request_dispatcher.cpp
+++ b/src/net/request_dispatcher.cpp
@@ -115,9 +115,13 @@
   }
 }
 
-bool RequestDispatcher::IsUsable(const EndpointConnection& connection, const std::string& addr,
-                                 Micros now_us) const {
-  return !connections_.IdleTooLong(connection, now_us) && connection.addr == addr && !connection.retired;
+// A connection to an earlier process at the same address is not usable: if its machine has vanished, the
+// connection stays open and silent.
+bool RequestDispatcher::IsUsable(const EndpointConnection& connection,
+                                 const coordinator::EndpointAddress& endpoint, Micros now_us) const {
+  bool same_process =
+      connection.addr == endpoint.addr && connection.endpoint_started_us == endpoint.started_us;
+  return same_process && !connections_.IdleTooLong(connection, now_us) && !connection.retired;
 }
 
 bool RequestDispatcher::CanAccept(const EndpointConnection& connection, const std::string& attempt_id) const {
@@ -130,14 +134,14 @@
 // attempt should wait for one that is being established. Opens another connection if all are shared and
 // MayOpenAnother allows it, but does not wait for a slow one while another is usable.
 ConnectionId RequestDispatcher::SelectConnection(EndpointQueue& queue, const std::string& attempt_id) {
-  std::string addr = resolver_.Find(queue.endpoint).addr;
+  coordinator::EndpointAddress endpoint = resolver_.Find(queue.endpoint);
   Micros now_us = clock_.Now();
   ConnectionId best = kNoConnection;
   std::size_t fewest_in_flight = 0;
   for (ConnectionId id : std::vector<ConnectionId>(queue.connections)) {
     EndpointConnection& connection = connections_.At(id);
     if (!connection.established) continue;
-    if (!IsUsable(connection, addr, now_us)) {
+    if (!IsUsable(connection, endpoint, now_us)) {
       bool unused = connection.in_flight.empty();
       if (unused) connections_.Close(id, connection, coordinator::Cause::kConnectionLost);
       continue;
--- a/src/net/request_dispatcher.h
+++ b/src/net/request_dispatcher.h
@@ -41,7 +41,8 @@
  private:
   void SendBatch(EndpointQueue& queue, ConnectionId id, EndpointConnection& connection);
   ConnectionId SelectConnection(EndpointQueue& queue, const std::string& attempt_id);
-  bool IsUsable(const EndpointConnection& connection, const std::string& addr, Micros now_us) const;
+  bool IsUsable(const EndpointConnection& connection, const coordinator::EndpointAddress& endpoint,
+                Micros now_us) const;
   bool CanAccept(const EndpointConnection& connection, const std::string& attempt_id) const;
   bool MayOpenAnother(const EndpointQueue& queue) const;
   bool IsReleasable(const EndpointQueue& queue) const;
--- a/tests/scenario/endpoint_statements.cpp
+++ b/tests/scenario/endpoint_statements.cpp
@@ -107,12 +107,34 @@
 }
 
 void Player::SendEndpointUpdate(const std::string& name, const std::string& state) {
+  SendEntry(EndpointEntry(name, state));
+}
+
+void Player::SendEntry(const Json& entry) {
   WaitUntil([&] { return !discovery_.connections.empty(); }, "the program does not watch discovery");
-  const Json list = {
-      {"version", ++list_version_}, {"full", false}, {"servers", {EndpointEntry(name, state)}}};
+  const Json list = {{"version", ++list_version_}, {"full", false}, {"servers", Json::array({entry})}};
   WriteToWatch(list.dump());
 }
 
+void Player::RestartEndpoint(const Statement& statement) {
+  Json entry = EndpointEntry(ResolveAlias(statement.subject), "ready");
+  entry["started_ms"] = std::stoll(statement.arguments);
+  SendEntry(entry);
+}
+
+void Player::TakeOverAddress(const Statement& statement) {
+  std::istringstream words(statement.arguments);
+  int cell = 0;
+  std::string old_name;
+  std::int64_t started_ms = 0;
+  words >> cell >> old_name >> started_ms;
+  Json entry = EndpointEntry(ResolveAlias(old_name), "ready");
+  entry["id"] = statement.subject;
+  entry["cell"] = cell;
+  entry["started_ms"] = started_ms;
+  SendEntry(entry);
+}
+
 // Sends the full list, indented, with one entry changed and `others` additional draining entries.
 void Player::SendIndentedList(const Statement& statement) {
   WaitUntil([&] { return !discovery_.connections.empty(); }, "the program does not watch discovery");
--- a/tests/scenario/player.cpp
+++ b/tests/scenario/player.cpp
@@ -49,6 +49,8 @@
       {"update", &Player::SendDnsUpdate},
       {"list", &Player::SendList},
       {"indented", &Player::SendIndentedList},
+      {"restart", &Player::RestartEndpoint},
+      {"takeover", &Player::TakeOverAddress},
       {"deny", &Player::QueueWatchDenial},
       {"stall", &Player::QueueWatchDenial},
       {"start", &Player::Start},
--- a/tests/scenario/player.h
+++ b/tests/scenario/player.h
@@ -70,8 +70,11 @@
   void SendDnsUpdate(const Statement& statement);
   void SendList(const Statement& statement);
   void SendIndentedList(const Statement& statement);
+  void RestartEndpoint(const Statement& statement);
+  void TakeOverAddress(const Statement& statement);
   void QueueWatchDenial(const Statement& statement);
   void SendEndpointUpdate(const std::string& name, const std::string& state);
+  void SendEntry(const nlohmann::json& entry);
   void WriteToWatch(const std::string& list);
   nlohmann::json EndpointEntry(const std::string& name, const std::string& state) const;
 
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -25,6 +25,10 @@
 //   certificate C NAMES      client C presents a certificate with these names, such as DNS:a.example
 //   finished C               C's connection was closed with a TLS close_notify, not truncated
 //   list NAME STATE          discovery sends an endpoint's state: ready, draining or gone (removed)
+//   restart NAME MS          discovery sends the endpoint as ready with another start time, in ms; its
+//   connections
+//                            to the process before stay open
+//   takeover NEW CELL OLD MS discovery sends a new endpoint at the address of OLD, which the list still has
 //   indented NAME STATE [N]  the same in a full list, indented, with N additional draining endpoints
 //   expect X GLOB            the next message at X matches. X is an endpoint, a client, `any` (the endpoint
 //                            that gets the next message, called `it` from then on) or `other` (another one,
