Take an endpoint for removed when another one has started later at its address

Cause: EndpointRegistry kept both entries. Change: of endpoints at one address those that started before the latest count as removed, until a list gives them another address; equal start times may share one.

--- a/src/coordinator/endpoint_registry.cpp
+++ b/src/coordinator/endpoint_registry.cpp
@@ -1,7 +1,12 @@
 #include "coordinator/endpoint_registry.h"
 
+#include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <string_view>
+#include <unordered_map>
+
+#include "log/log.h"
 
 namespace liftrudder::coordinator {
 namespace {
@@ -40,6 +45,7 @@
     listed.insert(update.endpoints.back().id);
   }
   if (!IsDelta(list)) RemoveUnlisted(listed, notified_us);
+  RemoveReplaced(update, notified_us);
   ForgetRemoved(notified_us);
   return update;
 }
@@ -60,7 +66,9 @@
 routing::Endpoint EndpointRegistry::ApplyEntry(const EndpointEntry& entry, Micros notified_us) {
   routing::Endpoint endpoint = entry.endpoint;
   endpoint.id = FindOrAssignId(entry.id);
-  EndpointAddress& address = endpoints_[endpoint.id];
+  ListedEndpoint& listed = endpoints_[endpoint.id];
+  listed.endpoint = endpoint;
+  EndpointAddress& address = listed.address;
   address.id = entry.id;
   address.addr = entry.addr;
   address.started_us = endpoint.started_us;
@@ -78,10 +86,34 @@
 }
 
 void EndpointRegistry::RemoveUnlisted(const std::set<EndpointId>& listed, Micros notified_us) {
-  for (auto& [id, address] : endpoints_) {
+  for (auto& [id, endpoint] : endpoints_) {
     if (listed.contains(id)) continue;
-    StopSending(address, notified_us);
+    StopSending(endpoint.address, notified_us);
+    removed_us_.try_emplace(id, notified_us);
+  }
+}
+
+void EndpointRegistry::RemoveReplaced(routing::EndpointListUpdate& update, Micros notified_us) {
+  std::unordered_map<std::string_view, Micros> latest_start_us;  // by address
+  for (const auto& [id, listed] : endpoints_) {
+    if (removed_us_.contains(id)) continue;
+    Micros& latest_us = latest_start_us[listed.address.addr];
+    latest_us = std::max(latest_us, listed.endpoint.started_us);
+  }
+  for (auto& [id, listed] : endpoints_) {
+    if (removed_us_.contains(id)) continue;
+    if (listed.endpoint.started_us == latest_start_us[listed.address.addr]) continue;
+    StopSending(listed.address, notified_us);
     removed_us_.try_emplace(id, notified_us);
+    listed.endpoint.availability = routing::Availability::kRemoved;
+    auto entry = std::ranges::find(update.endpoints, id, &routing::Endpoint::id);
+    if (entry == update.endpoints.end()) {
+      update.endpoints.push_back(listed.endpoint);
+    } else {
+      *entry = listed.endpoint;
+    }
+    log::Info("endpoint {} is taken for removed: another one has started at {} after it", listed.address.id,
+              listed.address.addr);
   }
 }
 
@@ -95,7 +127,7 @@
       continue;
     }
     auto endpoint = endpoints_.find(id);
-    ids_.erase(endpoint->second.id);
+    ids_.erase(endpoint->second.address.id);
     endpoints_.erase(endpoint);
     removed = removed_us_.erase(removed);
   }
@@ -104,7 +136,7 @@
 EndpointAddress EndpointRegistry::Find(const EndpointId& endpoint) const {
   std::lock_guard lock(mutex_);
   auto found = endpoints_.find(endpoint);
-  return found == endpoints_.end() ? EndpointAddress{} : found->second;
+  return found == endpoints_.end() ? EndpointAddress{} : found->second.address;
 }
 
 void EndpointRegistry::MarkUpToDate() {
--- a/src/coordinator/endpoint_registry.h
+++ b/src/coordinator/endpoint_registry.h
@@ -1,5 +1,6 @@
 // The endpoint list as last notified: the id and address of each endpoint, and when its draining or removal
-// was notified. Ignores outdated versions. Does not fetch lists or judge the health of endpoints.
+// was notified. An endpoint at whose address another one has started later counts as removed, also where the
+// list still names it. Ignores outdated versions. Does not fetch lists or judge the health of endpoints.
 // Thread-safe.
 #ifndef LIFTRUDDER_COORDINATOR_ENDPOINT_REGISTRY_H_
 #define LIFTRUDDER_COORDINATOR_ENDPOINT_REGISTRY_H_
@@ -47,12 +48,20 @@
   bool WaitUntilUpToDate(Micros timeout_us) const;
 
  private:
+  struct ListedEndpoint {
+    EndpointAddress address;
+    routing::Endpoint endpoint;
+  };
+
   // The methods below require the lock.
   bool IsOutdated(const EndpointList& list) const;
   EndpointId FindOrAssignId(const std::string& name);
   // Updates the address of an endpoint. Returns the endpoint with the id that the router knows it by.
   routing::Endpoint ApplyEntry(const EndpointEntry& entry, Micros notified_us);
   void RemoveUnlisted(const std::set<EndpointId>& listed, Micros notified_us);
+  // Removes the endpoints at whose address another one has started later, also from `update`, which names the
+  // listed endpoints of this list.
+  void RemoveReplaced(routing::EndpointListUpdate& update, Micros notified_us);
   void ForgetRemoved(Micros now_us);
 
   mutable std::mutex mutex_;
@@ -63,7 +72,7 @@
   bool up_to_date_ = false;
   std::uint64_t version_ = 0;
   std::map<std::string, EndpointId> ids_;
-  std::map<EndpointId, EndpointAddress> endpoints_;
+  std::map<EndpointId, ListedEndpoint> endpoints_;
   std::map<EndpointId, Micros> removed_us_;  // when removed; kept in endpoints_ until forgotten
   std::uint32_t ids_assigned_ = 0;           // ids are never reused
 };
--- a/tests/coordinator/endpoint_registry_test.cpp
+++ b/tests/coordinator/endpoint_registry_test.cpp
@@ -56,3 +56,40 @@
   CHECK_FALSE(registry.Apply({2, EndpointListKind::kDelta, {a}}, 60'000'001));
   CHECK(registry.Apply({4, EndpointListKind::kDelta, {a}}, 60'000'002)->endpoints[0].id != id);
 }
+
+// Guards against work for an endpoint that has gone, sent to the new process at its address.
+TEST_CASE("an endpoint is replaced by one that started later at the same address") {
+  EndpointRegistry registry;
+  EndpointEntry a{"a", "127.0.0.1:1", {}};
+  EndpointEntry b{"b", "127.0.0.1:2", {}};
+  auto first = registry.Apply({1, EndpointListKind::kFull, {a, b}}, 10);
+  EndpointEntry n{"n", "127.0.0.1:1", {}};
+  n.endpoint.started_us = 5;
+  auto update = registry.Apply({2, EndpointListKind::kDelta, {n}}, 20);
+  REQUIRE(update);
+  REQUIRE(update->endpoints.size() == 2);
+  CHECK(update->endpoints[1].id == first->endpoints[0].id);
+  CHECK(update->endpoints[1].availability == Availability::kRemoved);
+  CHECK(registry.Find(first->endpoints[0].id).drain_notified_us == 20);
+  CHECK(registry.Find(first->endpoints[1].id).drain_notified_us == 0);
+  CHECK(registry.Find(update->endpoints[0].id).drain_notified_us == 0);
+  CHECK(registry.ListedEndpoints() == 2);
+  // A full list that names both keeps the replacement; an address of its own brings the endpoint back.
+  update = registry.Apply({3, EndpointListKind::kFull, {a, b, n}}, 30);
+  CHECK(update->endpoints.size() == 3);
+  CHECK(update->endpoints[0].availability == Availability::kRemoved);
+  CHECK(registry.Find(first->endpoints[0].id).drain_notified_us > 0);
+  a.addr = "127.0.0.1:3";
+  update = registry.Apply({4, EndpointListKind::kDelta, {a}}, 40);
+  CHECK(update->endpoints[0].availability == Availability::kReady);
+  CHECK(registry.Find(first->endpoints[0].id).drain_notified_us == 0);
+}
+
+TEST_CASE("endpoints with the same start time may share an address") {
+  EndpointRegistry registry;
+  EndpointEntry a{"a", "127.0.0.1:1", {}};
+  EndpointEntry b{"b", "127.0.0.1:1", {}};
+  auto update = registry.Apply({1, EndpointListKind::kFull, {a, b}}, 10);
+  CHECK(update->endpoints[0].availability == Availability::kReady);
+  CHECK(update->endpoints[1].availability == Availability::kReady);
+}
