Serve the connections of the DNS update port side by side, and forget drained endpoints

Shown on the DNS update port: another client's update was answered after 3.5 s, when the 4 s of the flood were over; memory grew by 2.3 MB for some 3,600 names.

Cause: ZoneSource served one connection to its end before it accepted the next, and never published an endpoint as removed.

Names are still forgotten by time and not by number, so memory under such a flood is bounded by its rate only.

--- a/src/dns/zone_source.cpp
+++ b/src/dns/zone_source.cpp
@@ -1,5 +1,8 @@
 #include "dns/zone_source.h"
 
+#include <poll.h>
+
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -15,10 +18,12 @@
 using coordinator::Micros;
 using routing::Availability;
 
-constexpr Micros kStopCheckUs = 200'000;         // how often a wait checks for a stop
+constexpr int kStopCheckMs = 200;                // how often a wait checks for a stop
 constexpr Micros kMessageTimeoutUs = 2'000'000;  // between two parts of a message
 constexpr Micros kIdleTimeoutUs = 30'000'000;    // between two messages
-constexpr std::size_t kLengthPrefixBytes = 2;    // RFC 1035 section 4.2.2
+// Longer than any query may take, so that no attempt is still in flight to a removed endpoint.
+constexpr Micros kRemoveDrainedAfterUs = 30'000'000;
+constexpr std::size_t kLengthPrefixBytes = 2;  // RFC 1035 section 4.2.2
 constexpr std::string_view kLoopbackPrefix = "127.";
 
 // Removes one message from the front of `input`; returns nothing while it is incomplete.
@@ -71,7 +76,7 @@
       coordinator_(coordinator),
       clock_(clock) {
   Publish(true);
-  if (listener_.Valid()) thread_ = net::Thread([this] { AcceptConnections(); });
+  if (listener_.Valid()) thread_ = net::Thread([this] { Run(); });
 }
 
 ZoneSource::~ZoneSource() {
@@ -79,38 +84,81 @@
   thread_.Join();
 }
 
-void ZoneSource::AcceptConnections() {
-  while (!stopping_) {
-    net::Fd client = net::Accept(listener_, kStopCheckUs);
-    if (client.Valid()) Serve(client);
+void ZoneSource::Run() {
+  while (!stopping_) ServeOnce();
+}
+
+void ZoneSource::ServeOnce() {
+  std::vector<pollfd> polled;
+  for (const Connection& connection : connections_) polled.push_back({connection.fd.Get(), POLLIN, 0});
+  polled.push_back({listener_.Get(), POLLIN, 0});
+  ::poll(polled.data(), polled.size(), kStopCheckMs);
+  RemoveDrained();
+  std::vector<Connection> kept;
+  for (std::size_t i = 0; i < connections_.size(); ++i) {
+    Connection& connection = connections_[i];
+    bool keep = polled[i].revents != 0 ? Receive(connection) : !IsExpired(connection);
+    if (keep) kept.push_back(std::move(connection));
   }
+  connections_ = std::move(kept);
+  if (polled.back().revents != 0) AcceptConnection();
 }
 
-void ZoneSource::Serve(const net::Fd& client) {
-  std::string input;
-  Micros received_us = clock_.Now();
-  while (!stopping_) {
-    Micros idle_us = clock_.Now() - received_us;
-    if (idle_us > (input.empty() ? kIdleTimeoutUs : kMessageTimeoutUs)) return;
-    net::IoStatus status = net::ReadSome(client, input, kStopCheckUs);
-    if (status == net::IoStatus::kTimeout) continue;
-    if (status != net::IoStatus::kOk) return;
-    received_us = clock_.Now();
-    if (!ApplyMessages(client, input)) return;
+void ZoneSource::AcceptConnection() {
+  net::Fd client = net::Accept(listener_, 0);
+  if (!client.Valid()) return;
+  if (connections_.size() >= kMaxConnections) {
+    connections_.erase(std::ranges::min_element(connections_, {}, &Connection::last_message_us));
   }
+  Micros now_us = clock_.Now();
+  connections_.push_back({std::move(client), "", now_us, now_us});
+}
+
+bool ZoneSource::Receive(Connection& connection) {
+  net::IoStatus status = net::ReadNow(connection.fd, connection.input);
+  if (status == net::IoStatus::kTimeout) return !IsExpired(connection);
+  if (status != net::IoStatus::kOk) return false;
+  connection.received_us = clock_.Now();
+  return ApplyMessages(connection);
+}
+
+bool ZoneSource::IsExpired(const Connection& connection) const {
+  Micros idle_us = clock_.Now() - connection.received_us;
+  return idle_us > (connection.input.empty() ? kIdleTimeoutUs : kMessageTimeoutUs);
 }
 
-bool ZoneSource::ApplyMessages(const net::Fd& client, std::string& input) {
-  while (std::optional<std::string> message = TakeMessage(input)) {
+bool ZoneSource::ApplyMessages(Connection& connection) {
+  while (std::optional<std::string> message = TakeMessage(connection.input)) {
+    connection.last_message_us = clock_.Now();
     std::string response = ApplyUpdate(*message, zone_);
     if (response.empty()) return false;
     Publish(false);
-    net::IoStatus status = net::WriteAll(client, WithLengthPrefix(response), kMessageTimeoutUs).status;
-    if (status != net::IoStatus::kOk) return false;
+    // A client that does not read its responses must not hold back the others.
+    if (net::WriteAll(connection.fd, WithLengthPrefix(response), 0).status != net::IoStatus::kOk)
+      return false;
   }
   return true;
 }
 
+void ZoneSource::RemoveDrained() {
+  coordinator::EndpointList list;
+  list.kind = routing::EndpointListKind::kDelta;
+  for (auto drained = draining_since_us_.begin(); drained != draining_since_us_.end();) {
+    if (clock_.Now() - drained->second <= kRemoveDrainedAfterUs) {
+      ++drained;
+      continue;
+    }
+    auto published = published_.find(drained->first);
+    published->second.endpoint.availability = Availability::kRemoved;
+    list.entries.push_back(std::move(published->second));
+    published_.erase(published);
+    drained = draining_since_us_.erase(drained);
+  }
+  if (list.entries.empty()) return;
+  list.version = ++version_;
+  if (auto update = endpoint_registry_.Apply(list, clock_.Now())) coordinator_.Post(std::move(*update));
+}
+
 // An endpoint that appears in an update has most likely just been started, and without slow start it could be
 // overloaded. An endpoint that is ready already keeps its published start time.
 void ZoneSource::FillStartTime(EndpointEntry& entry, const EndpointEntry* published_ready,
@@ -138,9 +186,13 @@
   for (auto& [name, entry] : published_) {
     if (current.contains(name) || entry.endpoint.availability != Availability::kReady) continue;
     entry.endpoint.availability = Availability::kDraining;
+    draining_since_us_[name] = clock_.Now();
     list.entries.push_back(entry);
   }
-  for (const EndpointEntry& entry : list.entries) published_[entry.id] = entry;
+  for (const EndpointEntry& entry : list.entries) {
+    published_[entry.id] = entry;
+    if (entry.endpoint.availability == Availability::kReady) draining_since_us_.erase(entry.id);
+  }
   if (list.entries.empty() && !initial) return;
   if (auto update = endpoint_registry_.Apply(list, clock_.Now())) coordinator_.Post(std::move(*update));
   log::Info("zone {}: {} endpoints, {} changed", zone_.origin, current.size(), list.entries.size());
