--- a/src/dns/zone_source.cpp
+++ b/src/dns/zone_source.cpp
@@ -133,9 +133,9 @@
     std::string response = ApplyUpdate(*message, zone_);
     if (response.empty()) return false;
     Publish(false);
-    // A client that does not read its responses must not hold back the others.
-    if (net::WriteAll(connection.fd, WithLengthPrefix(response), 0).status != net::IoStatus::kOk)
-      return false;
+    // Without a wait: a client that does not read its responses must not hold back the others.
+    net::IoStatus status = net::WriteAll(connection.fd, WithLengthPrefix(response), 0).status;
+    if (status != net::IoStatus::kOk) return false;
   }
   return true;
 }
