Log until when answers are sure after SIGTERM, and what time later requests have

Change: limits::ShutdownTimeoutsOf has the platform's rule for a planned restart (the longest client timeout, of which at most 3 s count, plus 0.7 s; answers are sure until 0.15 s before that). The shutdown logs it, and the coordinator logs each later query whose client waits for longer. No decision changes.

--- a/src/app/coordinator_server.cpp
+++ b/src/app/coordinator_server.cpp
@@ -10,6 +10,7 @@
 #include "app/watched_files.h"
 #include "config/config.h"
 #include "dns/zone.h"
+#include "limits/shutdown_timeouts.h"
 #include "limits/watch_timeouts.h"
 #include "log/log.h"
 #include "opensearch/front.h"
@@ -148,10 +149,12 @@
 }
 
 void CoordinatorServer::ShutDown(Reloader& reloader) {
+  const coordinator::Micros terminated_us = clock_.Now();
   runtime_.connection_budget().Attach(nullptr);
   admin_handler_->Attach(nullptr);
-  ShutDownGracefully(*server_, {signals_, clock_, reloader, !options_.passed_socket.empty()},
-                     runtime_.coordinator().OpenQueries());
+  ShutDownGracefully(*server_, runtime_.coordinator(),
+                     {signals_, clock_, reloader, limits::ShutdownTimeoutsOf(config_.settings), terminated_us,
+                      !options_.passed_socket.empty()});
   server_.reset();
   handler_.reset();
   zone_source_.reset();
--- a/src/app/graceful_shutdown.cpp
+++ b/src/app/graceful_shutdown.cpp
@@ -9,20 +9,20 @@
 namespace liftrudder::app {
 namespace {
 
-using coordinator::Micros;
-
-// How long clients are still accepted after the process reports that it is not ready, since load balancers
-// notice late.
-constexpr Micros kListenAfterDrainUs = 700'000;
 constexpr Micros kSignalPollUs = 50'000;  // longest interval between checks for signals
+constexpr double kUsPerSecond = 1e6;
+
+double Seconds(Micros span_us) { return static_cast<double>(span_us) / kUsPerSecond; }
 
 void HandlePendingReload(const ShutdownContext& context) {
   if (context.signals.WaitFor(0) == ControlSignal::kReload) context.reloader.Reload();
 }
 
 void KeepListening(const ShutdownContext& context) {
-  const Micros until_us = context.clock.Now() + kListenAfterDrainUs;
-  for (Micros left_us = kListenAfterDrainUs; left_us > 0; left_us = until_us - context.clock.Now()) {
+  const Micros until_us = context.terminated_us + context.timeouts.listen_us;
+  while (true) {
+    const Micros left_us = until_us - context.clock.Now();
+    if (left_us <= 0) return;
     std::this_thread::sleep_for(std::chrono::microseconds(std::min(left_us, kSignalPollUs)));
     HandlePendingReload(context);
   }
@@ -30,10 +30,18 @@
 
 }  // namespace
 
-void ShutDownGracefully(net::Server& server, const ShutdownContext& context, int open_queries) {
+void ShutDownGracefully(net::Server& server, coordinator::Coordinator& coordinator,
+                        const ShutdownContext& context) {
+  const limits::ShutdownTimeouts& timeouts = context.timeouts;
   server.Drain();
   if (context.listener_is_shared) server.StopAccepting();
-  log::Info("shutting down; {} queries are in flight", open_queries);
+  coordinator.Post(coordinator::Shutdown{context.terminated_us + timeouts.answer_within_us});
+  log::Info(
+      "shutting down; {} queries are in flight; answers are sure for {:.3f} s, SIGKILL may come after {:.3f} "
+      "s "
+      "(the longest client timeout is {:.3f} s)",
+      coordinator.OpenQueries(), Seconds(timeouts.answer_within_us), Seconds(timeouts.kill_us),
+      Seconds(timeouts.longest_client_timeout_us));
   KeepListening(context);
   server.StopListening();
   while (!server.WaitClosed(kSignalPollUs)) HandlePendingReload(context);
--- a/src/app/graceful_shutdown.h
+++ b/src/app/graceful_shutdown.h
@@ -4,15 +4,21 @@
 
 #include "app/reload.h"
 #include "app/signals.h"
+#include "coordinator/coordinator.h"
 #include "coordinator/interfaces.h"
+#include "limits/shutdown_timeouts.h"
 #include "net/server.h"
 
 namespace liftrudder::app {
 
+using coordinator::Micros;
+
 struct ShutdownContext {
   const ControlSignals& signals;
   const coordinator::Clock& clock;
   Reloader& reloader;
+  limits::ShutdownTimeouts timeouts;
+  Micros terminated_us = 0;         // when the process was told to end
   bool listener_is_shared = false;  // another process accepts on the same listener
 };
 
@@ -22,7 +28,8 @@
 // 2. It stops listening.
 // 3. It returns when every connection has closed; each request that has begun to arrive is answered.
 // SIGHUP is handled throughout, since open requests still need endpoints; other signals are ignored.
-void ShutDownGracefully(net::Server& server, const ShutdownContext& context, int open_queries);
+void ShutDownGracefully(net::Server& server, coordinator::Coordinator& coordinator,
+                        const ShutdownContext& context);
 
 }  // namespace liftrudder::app
 
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -89,6 +89,8 @@
   void HandleInput(ClientDisconnect& disconnect);
   void HandleInput(AttemptResult& result);
   void HandleInput(routing::EndpointListUpdate& update);
+  void HandleInput(Shutdown& shutdown);
+  void LogIfAnswerUnsure(const QueryRequest& request);
 
   // The decision round.
   Micros NextTimer() const;
@@ -135,7 +137,8 @@
   InFlightTable in_flight_;
   std::set<Timer> timers_;
   std::int64_t last_query_number_ = 0;
-  Micros now_us_ = 0;  // when the current round began
+  Micros now_us_ = 0;                   // when the current round began
+  std::optional<Micros> answer_by_us_;  // Shutdown::answer_by_us; none: the process goes on
   // Reused by all rounds to avoid allocations.
   std::vector<routing::Event> events_;
   std::vector<routing::Action> actions_;
--- a/src/coordinator/event_intake.cpp
+++ b/src/coordinator/event_intake.cpp
@@ -7,6 +7,10 @@
 namespace liftrudder::coordinator {
 namespace {
 
+constexpr double kUsPerSecond = 1e6;
+
+double Seconds(Micros span_us) { return static_cast<double>(span_us) / kUsPerSecond; }
+
 void LogRepeatTooLate(const InFlightShardRequest& shard_request, int attempt) {
   log::Info("{}.{} was not repeated: attempt {} waited until the deduplication window was over",
             shard_request.payload->call_id, shard_request.request.shard, attempt);
@@ -33,6 +37,7 @@
                                                        shard_request.key, shard_request.work_us});
   }
   recording_.RecordArrival(arrival, now_us_);
+  LogIfAnswerUnsure(request);
   in_flight_.AddQuery(arrival.id, request, std::move(arrival.reply));
 }
 
@@ -71,4 +76,14 @@
   if (on_endpoint_list_change_) on_endpoint_list_change_();
 }
 
+void Coordinator::HandleInput(Shutdown& shutdown) { answer_by_us_ = shutdown.answer_by_us; }
+
+// Names a query whose client waits beyond the time until which its answer is sure.
+void Coordinator::LogIfAnswerUnsure(const QueryRequest& request) {
+  if (!answer_by_us_ || request.deadline_us <= *answer_by_us_) return;
+  log::Info(
+      "query {} arrived during the shutdown: its client waits {:.3f} s, its answer is sure for {:.3f} s",
+      request.payload->call_id, Seconds(request.deadline_us - now_us_), Seconds(*answer_by_us_ - now_us_));
+}
+
 }  // namespace liftrudder::coordinator
--- a/src/coordinator/input.h
+++ b/src/coordinator/input.h
@@ -23,7 +23,13 @@
   decision_log::IntakeResult reason = decision_log::IntakeResult::kClientDisconnected;
 };
 
-using Input = std::variant<QueryArrival, ClientDisconnect, AttemptResult, routing::EndpointListUpdate>;
+// The process has been told to end.
+struct Shutdown {
+  Micros answer_by_us = 0;  // until when a final answer is sure to reach its client
+};
+
+using Input =
+    std::variant<QueryArrival, ClientDisconnect, AttemptResult, routing::EndpointListUpdate, Shutdown>;
 
 }  // namespace liftrudder::coordinator
 
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -5,13 +5,6 @@
 
 namespace liftrudder::routing {
 
-namespace {
-
-// The process may be held up this long between a reading of the clock and the write that depends on it.
-constexpr Micros kMaxWriteDelayUs = 150'000;
-
-}  // namespace
-
 bool ProvesNotRun(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kOverloaded || outcome == AttemptOutcome::kConnectFailed ||
          outcome == AttemptOutcome::kNotSent;
--- a/src/routing/settings.h
+++ b/src/routing/settings.h
@@ -70,6 +70,9 @@
   Micros retry_budget_window_us = 0;
 };
 
+// The process may be held up this long between a reading of the clock and the write that depends on it.
+constexpr Micros kMaxWriteDelayUs = 150'000;
+
 // The shortest latency objective of any class; a class with two phases counts with half its objective. Most
 // time constants of the decision modules are multiples of it. There must be at least one class.
 double MinLatencyObjectiveUs(const Settings& settings);
