Answer every query before SIGKILL may come, from SIGTERM on

Cause: a query's deadline came from its client's timeout alone, and the time at which SIGKILL may come (users/PROTOCOL, 'Figures': the longest deadline, taken as 3 s where it is longer, plus 0.7 s) was known nowhere. Evidence, from the log lines of the commit before: 6.2 s given where an answer was sure for 1.25 s. Ruled out: that the request was not read or not sent (the endpoints had it 1 to 6 ms after its last byte), and a response written late (there was none).

Change: the router is told at SIGTERM until when answers are sure (limits::ShutdownTimeoutsOf, 0.15 s before the earliest SIGKILL), and that is the latest deadline of each query, in flight or later. It works since everything that ends a query at its deadline now does so in time: partial results, retries, hedges, 429 or 504. The client's own deadline stays beside it: a query that may have run is rejected only if its client stops repeating it within the window, and a shutdown doesn't make a client's retry late.

Test seen to fail: scenario.terminate_late_request on the commit before: "line 26: expect late 429: no message was received" within 20 s.

--- a/src/app/graceful_shutdown.cpp
+++ b/src/app/graceful_shutdown.cpp
@@ -35,7 +35,7 @@
   const limits::ShutdownTimeouts& timeouts = context.timeouts;
   server.Drain();
   if (context.listener_is_shared) server.StopAccepting();
-  coordinator.Post(coordinator::Shutdown{context.terminated_us + timeouts.answer_within_us});
+  coordinator.BeginShutdown(context.terminated_us + timeouts.answer_within_us);
   log::Info(
       "shutting down; {} queries are in flight; answers are sure for {:.3f} s, SIGKILL may come after {:.3f} "
       "s "
--- a/src/coordinator/coordinator.cpp
+++ b/src/coordinator/coordinator.cpp
@@ -25,6 +25,11 @@
   FinishRound(0);  // records the last events from the fronts
 }
 
+void Coordinator::BeginShutdown(Micros answer_by_us) {
+  answer_by_us_ = answer_by_us;
+  Post(Shutdown{answer_by_us});
+}
+
 Micros Coordinator::NextTimer() const {
   Micros due_us = in_flight_.NextExpiry();
   return timers_.empty() ? due_us : std::min(due_us, timers_.begin()->due_us);
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -13,9 +13,11 @@
 #ifndef LIFTRUDDER_COORDINATOR_COORDINATOR_H_
 #define LIFTRUDDER_COORDINATOR_COORDINATOR_H_
 
+#include <algorithm>
 #include <atomic>
 #include <compare>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -67,6 +69,14 @@
   // Makes what was recorded so far readable in the decision log. Blocks the thread for 200 ms at most.
   void RefreshDecisionLog() { scheduler_.RefreshAndWait(); }
 
+  // Called once, when the process is about to end: from then on every query, in flight or admitted later, is
+  // answered by `answer_by_us`, or by its client's deadline if that is earlier.
+  void BeginShutdown(Micros answer_by_us);
+  // The earlier of `client_deadline_us` and the time by which a query is answered because of a shutdown.
+  Micros AnswerBy(Micros client_deadline_us) const {
+    return std::min(client_deadline_us, answer_by_us_.load());
+  }
+
   // Runs decision rounds on the calling thread, which is the coordinator thread, until Stop is called.
   void Run();
   void Stop() { scheduler_.Stop(); }
@@ -90,7 +100,7 @@
   void HandleInput(AttemptResult& result);
   void HandleInput(routing::EndpointListUpdate& update);
   void HandleInput(Shutdown& shutdown);
-  void LogIfAnswerUnsure(const QueryRequest& request);
+  void RecordIfShortened(const QueryRequest& request);
 
   // The decision round.
   Micros NextTimer() const;
@@ -131,14 +141,15 @@
   std::atomic<int> open_queries_{0};
   std::atomic<int> avoided_endpoints_{0};
   std::atomic<Id> next_id_{1};
+  std::atomic<Micros> answer_by_us_{std::numeric_limits<Micros>::max()};  // see BeginShutdown
 
   // Used by the coordinator thread alone.
   routing::Router router_;
   InFlightTable in_flight_;
   std::set<Timer> timers_;
   std::int64_t last_query_number_ = 0;
-  Micros now_us_ = 0;                   // when the current round began
-  std::optional<Micros> answer_by_us_;  // Shutdown::answer_by_us; none: the process goes on
+  Micros now_us_ = 0;  // when the current round began
+  int logged_late_queries_ = 0;
   // Reused by all rounds to avoid allocations.
   std::vector<routing::Event> events_;
   std::vector<routing::Action> actions_;
--- a/src/coordinator/event_intake.cpp
+++ b/src/coordinator/event_intake.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double kUsPerSecond = 1e6;
+constexpr int kMaxLoggedLateQueries = 1000;
 
 double Seconds(Micros span_us) { return static_cast<double>(span_us) / kUsPerSecond; }
 
@@ -37,7 +38,7 @@
                                                        shard_request.key, shard_request.work_us});
   }
   recording_.RecordArrival(arrival, now_us_);
-  LogIfAnswerUnsure(request);
+  RecordIfShortened(request);
   in_flight_.AddQuery(arrival.id, request, std::move(arrival.reply));
 }
 
@@ -76,14 +77,20 @@
   if (on_endpoint_list_change_) on_endpoint_list_change_();
 }
 
-void Coordinator::HandleInput(Shutdown& shutdown) { answer_by_us_ = shutdown.answer_by_us; }
+void Coordinator::HandleInput(Shutdown& shutdown) {
+  events_.emplace_back(routing::ShutdownStarted{std::max<Micros>(0, shutdown.answer_by_us - now_us_)});
+}
 
-// Names a query whose client waits beyond the time until which its answer is sure.
-void Coordinator::LogIfAnswerUnsure(const QueryRequest& request) {
-  if (!answer_by_us_ || request.deadline_us <= *answer_by_us_) return;
-  log::Info(
-      "query {} arrived during the shutdown: its client waits {:.3f} s, its answer is sure for {:.3f} s",
-      request.payload->call_id, Seconds(request.deadline_us - now_us_), Seconds(*answer_by_us_ - now_us_));
+// Counts and logs a query that has less time than its client waits.
+void Coordinator::RecordIfShortened(const QueryRequest& request) {
+  const Micros answer_by_us = AnswerBy(request.deadline_us);
+  if (answer_by_us == request.deadline_us) return;
+  counters_.shortened_queries.Add();
+  if (++logged_late_queries_ > kMaxLoggedLateQueries) return;
+  log::Info("query {} arrived during the shutdown: its client waits {:.3f} s, its answer is due in {:.3f} s",
+            request.payload->call_id, Seconds(request.deadline_us - now_us_),
+            Seconds(answer_by_us - now_us_));
+  if (logged_late_queries_ == kMaxLoggedLateQueries) log::Info("later queries are counted and not logged");
 }
 
 }  // namespace liftrudder::coordinator
--- a/src/decision_log/counts.h
+++ b/src/decision_log/counts.h
@@ -78,7 +78,7 @@
 enum class FrontKind : std::uint8_t { kPlatform, kSearch, kCount, kScroll, kMultiSearch };
 
 // The number of values of each of the routing module's enumerations.
-constexpr std::size_t kCompletionCauses = 13;
+constexpr std::size_t kCompletionCauses = 14;
 constexpr std::size_t kDispatchKinds = 6;
 constexpr std::size_t kAttemptOutcomes = 8;
 constexpr std::size_t kPendingReasons = 10;
--- a/src/decision_log/reason_text.cpp
+++ b/src/decision_log/reason_text.cpp
@@ -198,6 +198,8 @@
       return "there is no such class";
     case CompletionCause::kInvalidSettings:
       return "the settings cannot be used";
+    case CompletionCause::kShutdown:
+      return "the process was about to end";
   }
   return "of a cause this program does not know";
 }
--- a/src/decision_log/record_format_check.cpp
+++ b/src/decision_log/record_format_check.cpp
@@ -63,12 +63,13 @@
                         Eligibility::kZoneEjected, Eligibility::kDraining, Eligibility::kRemoved}));
 static_assert(Numbered({DispatchKind::kFirst, DispatchKind::kCanary, DispatchKind::kProbe,
                         DispatchKind::kRetry, DispatchKind::kStragglerHedge, DispatchKind::kOutlierHedge}));
-static_assert(
-    Numbered({CompletionCause::kUnspecified, CompletionCause::kComplete, CompletionCause::kLatencyObjective,
-              CompletionCause::kNoPendingRequests, CompletionCause::kLoad, CompletionCause::kEndpointLoad,
-              CompletionCause::kNoRemainingValue, CompletionCause::kEndpointsLost,
-              CompletionCause::kCoverageUnreachable, CompletionCause::kNoLateValue, CompletionCause::kExpired,
-              CompletionCause::kUnknownClass, CompletionCause::kInvalidSettings}));
+static_assert(Numbered({CompletionCause::kUnspecified, CompletionCause::kComplete,
+                        CompletionCause::kLatencyObjective, CompletionCause::kNoPendingRequests,
+                        CompletionCause::kLoad, CompletionCause::kEndpointLoad,
+                        CompletionCause::kNoRemainingValue, CompletionCause::kEndpointsLost,
+                        CompletionCause::kCoverageUnreachable, CompletionCause::kNoLateValue,
+                        CompletionCause::kExpired, CompletionCause::kUnknownClass,
+                        CompletionCause::kInvalidSettings, CompletionCause::kShutdown}));
 static_assert(Numbered({CancelReason::kAnswered, CancelReason::kQueryOver, CancelReason::kEndpointOutlier,
                         CancelReason::kDeadConnection}));
 static_assert(Numbered({CloseReason::kDeadConnection, CloseReason::kIdleTimeout}));
--- a/src/decision_log/wire_names.h
+++ b/src/decision_log/wire_names.h
@@ -35,8 +35,8 @@
 inline constexpr std::array<std::string_view, kDispatchKinds> kDispatchNames = {
     "first", "head_start", "trial", "resend", "straggler_copy", "suspect_copy"};
 inline constexpr std::array<std::string_view, kCompletionCauses> kCompletionNames = {
-    "unstated",      "whole",    "aim",       "nothing_more", "pressure", "hot",         "no_worth",
-    "replicas_lost", "hopeless", "worthless", "expired",      "no_class", "bad_settings"};
+    "unstated",      "whole",    "aim",       "nothing_more", "pressure", "hot",          "no_worth",
+    "replicas_lost", "hopeless", "worthless", "expired",      "no_class", "bad_settings", "shutdown"};
 inline constexpr std::array<std::string_view, 4> kCancelNames = {"answered", "query_over", "looks_sick",
                                                                  "dead_connection"};
 inline constexpr std::array<std::string_view, kCloseReasons> kCloseNames = {"dead_connection",
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -39,6 +39,7 @@
   line(wire_names::kConnectionsUnrequested, unrequested_responses);
   line(wire_names::kConnectionsMisnamed, misnamed_responses);
   line(wire_names::kConnectionsUnnamed, unnamed_responses);
+  line(wire_names::kQueriesShortened, shortened_queries);
   return text;
 }
 
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -54,6 +54,8 @@
   Counter rounds;          // decision rounds
   Counter endpoint_lists;  // endpoint lists received, full ones and deltas
 
+  Counter shortened_queries;  // received in a shutdown, with less time than their clients wait
+
   // One line for each counter: its name, a space, its value.
   std::string Text() const;
 };
--- a/src/metrics/wire_names.h
+++ b/src/metrics/wire_names.h
@@ -32,6 +32,7 @@
 inline constexpr const char* kConnectionsUnrequested = "connections_unrequested";
 inline constexpr const char* kConnectionsMisnamed = "connections_misnamed";
 inline constexpr const char* kConnectionsUnnamed = "connections_unnamed";
+inline constexpr const char* kQueriesShortened = "queries_shortened";
 
 // OperatorFigures::Text; the figures by class carry the label kClassLabel.
 inline constexpr const char* kClassLabel = "group";
--- a/src/opensearch/query_runner.cpp
+++ b/src/opensearch/query_runner.cpp
@@ -83,7 +83,8 @@
                                                        const net::Exchange& exchange) {
   using WaitResult = net::WaitingReply::WaitResult;
   using decision_log::IntakeResult;
-  switch (query.reply->Wait(*exchange.connection, clock_, query.deadline_us - kAnswerMarginUs)) {
+  const coordinator::Micros wait_until_us = coordinator_.AnswerBy(query.deadline_us - kAnswerMarginUs);
+  switch (query.reply->Wait(*exchange.connection, clock_, wait_until_us)) {
     case WaitResult::kAnswered:
       break;
     case WaitResult::kDisconnected:
--- a/src/platform/query_handler.cpp
+++ b/src/platform/query_handler.cpp
@@ -143,12 +143,12 @@
 
 std::optional<net::HttpResponse> QueryHandler::RunQuery(coordinator::QueryRequest query,
                                                         const net::Exchange& exchange) {
-  const coordinator::Micros deadline_us = query.deadline_us;
+  const coordinator::Micros deadline_us = query.deadline_us - kDeadlineMarginUs;
   auto reply = std::make_shared<net::WaitingReply>(exchange.reply_waiter);
   auto id = coordinator_.Admit(std::move(query), reply);
   if (!id) return ErrorResponse(503, kBusyRetryUs, "too many queries are open");
   exchange.answered_queries->push_back({*id, 0});
-  switch (reply->Wait(*exchange.connection, clock_, deadline_us - kDeadlineMarginUs)) {
+  switch (reply->Wait(*exchange.connection, clock_, coordinator_.AnswerBy(deadline_us))) {
     case net::WaitingReply::WaitResult::kDisconnected:
       coordinator_.Post(coordinator::ClientDisconnect{*id});
       return std::nullopt;
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -33,7 +33,8 @@
   query.number = event.query_number;
   query.class_index = static_cast<std::size_t>(event.class_index);
   query.received_us = now;
-  query.deadline_us = now + event.timeout_remaining_us;
+  query.client_deadline_us = now + event.timeout_remaining_us;
+  query.deadline_us = query.client_deadline_us;
   const QueryClassSettings& cls = settings_.classes[query.class_index];
   Micros elapsed_before_us = ElapsedBeforeArrivalUs(event, cls);
   auto work_us = static_cast<Micros>(cls.objective_per_work * static_cast<double>(event.work_us));
--- a/src/routing/completion_policy.cpp
+++ b/src/routing/completion_policy.cpp
@@ -88,11 +88,13 @@
 }
 
 Completion CompletionPolicy::ExpiredCompletion(const Query& query, Micros now) const {
-  return Abandon(CompletionCause::kExpired, Seconds(query.deadline_us - now), Seconds(answer_margin_us_));
+  bool client_waits = query.deadline_us < query.client_deadline_us;
+  return Abandon(client_waits ? CompletionCause::kShutdown : CompletionCause::kExpired,
+                 Seconds(query.deadline_us - now), Seconds(answer_margin_us_));
 }
 
 bool CompletionPolicy::MayReject(const Query& query, const QueryTable& queries, Micros now) const {
-  if (now >= query.deadline_us) return false;
+  if (now >= query.client_deadline_us) return false;
   std::optional<Micros> first_run_us = FirstPossibleRunUs(query, queries);
   if (!first_run_us) return true;
   return ClientGivesUpUs(query) <= LatestRepeatUs(settings_.classes[query.class_index], *first_run_us);
@@ -115,7 +117,7 @@
 // arrived.
 Micros CompletionPolicy::ClientGivesUpUs(const Query& query) const {
   Micros client_timeout_us = settings_.classes[query.class_index].client_timeout_us;
-  return std::max(query.deadline_us, query.received_us + client_timeout_us);
+  return std::max(query.client_deadline_us, query.received_us + client_timeout_us);
 }
 
 Micros CompletionPolicy::RetryAfterUs(double shedding_probability) const {
--- a/src/routing/events.h
+++ b/src/routing/events.h
@@ -82,6 +82,12 @@
   Id id = 0;
 };
 
+// The process will end: every query, in flight or received later, is to have its answer within this time, or
+// within its client's timeout if that ends earlier. Sent at most once.
+struct ShutdownStarted {
+  Micros answer_within_us = 0;
+};
+
 // The timer of a SetTimer expired.
 struct TimerFired {
   std::uint64_t label = 0;
@@ -93,8 +99,9 @@
   std::string text;
 };
 
-using Event = std::variant<EndpointListUpdate, QueryReceived, ShardRequestReceived, AttemptFinished,
-                           HealthCheckFinished, ClientDisconnected, TimerFired, GossipMessage>;
+using Event =
+    std::variant<EndpointListUpdate, QueryReceived, ShardRequestReceived, AttemptFinished,
+                 HealthCheckFinished, ClientDisconnected, TimerFired, GossipMessage, ShutdownStarted>;
 
 }  // namespace liftrudder::routing
 
--- a/src/routing/query_table.cpp
+++ b/src/routing/query_table.cpp
@@ -9,6 +9,11 @@
   return static_cast<int>(std::ranges::count_if(attempts, &Attempt::in_flight));
 }
 
+void Query::LimitDeadline(Micros latest_us) {
+  deadline_us = std::min(deadline_us, latest_us);
+  objective_at_us = std::min(objective_at_us, deadline_us);
+}
+
 Query& QueryTable::Add(Query query) {
   ids_by_number_[query.number] = query.id;
   Query& entry = queries_[query.id];
--- a/src/routing/query_table.h
+++ b/src/routing/query_table.h
@@ -46,11 +46,12 @@
   Id id = 0;
   std::int64_t number = 0;
   std::size_t class_index = 0;
-  Micros received_us = 0;      // when the router was notified of it
-  Micros objective_at_us = 0;  // end of the latency objective
-  Micros deadline_us = 0;      // end of the client's timeout
-  double value_factor = 1;     // below 1: late, or over its tenant's quota
-  int phase = 1;               // 2: fetch phase
+  Micros received_us = 0;         // when the router was notified of it
+  Micros objective_at_us = 0;     // end of the latency objective
+  Micros client_deadline_us = 0;  // end of the client's timeout
+  Micros deadline_us = 0;         // when it must be answered: client_deadline_us, or earlier in a shutdown
+  double value_factor = 1;        // below 1: late, or over its tenant's quota
+  int phase = 1;                  // 2: fetch phase
   bool first_phase_complete = true;
   bool known_safe = false;  // an endpoint answered one of its shard requests, so it is no poison query
   int endpoint_losses = 0;  // attempts that were in flight at an endpoint when it was lost
@@ -64,6 +65,9 @@
   Micros latest_first_attempt_us = 0;
   Micros mostly_answered_us = 0;  // 0: not yet
   std::vector<Id> shard_requests;
+
+  // Moves the deadline to `latest_us` unless it is earlier.
+  void LimitDeadline(Micros latest_us);
 };
 
 class QueryTable {
--- a/src/routing/reasons.h
+++ b/src/routing/reasons.h
@@ -74,6 +74,7 @@
   kExpired,              // abandoned: seconds to the deadline, seconds reserved to deliver the answer
   kUnknownClass,
   kInvalidSettings,
+  kShutdown,  // abandoned before its client's deadline, as the process ends: as for kExpired
 };
 
 struct CompletionReason {
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -119,7 +119,7 @@
   }
   arrivals.Add(now);
   load.RecordQuery(now, settings.classes[0].client_timeout_us * 2);
-  queries.Add(admission.MakeQuery(event, now));
+  queries.Add(admission.MakeQuery(event, now)).LimitDeadline(shutdown_deadline_us);
 }
 
 void Router::State::operator()(const ShardRequestReceived& event) {
@@ -171,6 +171,11 @@
   queries.MarkEnded(*query);
 }
 
+void Router::State::operator()(const ShutdownStarted& event) {
+  shutdown_deadline_us = now + event.answer_within_us;
+  for (auto& [id, query] : queries.All()) query.LimitDeadline(shutdown_deadline_us);
+}
+
 void Router::State::operator()(const TimerFired& timer) {
   if (timer.label == kPollTimerLabel) {
     actions->push_back(Subscribe{});
--- a/src/routing/router_state.h
+++ b/src/routing/router_state.h
@@ -4,6 +4,7 @@
 #define LIFTRUDDER_ROUTING_ROUTER_STATE_H_
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <span>
 #include <vector>
@@ -57,6 +58,7 @@
   void operator()(const ShardRequestReceived& event);
   void operator()(const AttemptFinished& finished);
   void operator()(const ClientDisconnected& event);
+  void operator()(const ShutdownStarted& event);
   void operator()(const TimerFired& timer);
   void operator()(const HealthCheckFinished&) {}
   void operator()(const GossipMessage&) {}
@@ -122,6 +124,7 @@
   double usable_endpoints = 0;
   int avoided_endpoints = 0;  // listed, and draining, ejected or in an ejected zone
   bool round_timer_set = false;
+  Micros shutdown_deadline_us = std::numeric_limits<Micros>::max();  // see ShutdownStarted
 
   // State of the current round; the pointers are valid only during Handle.
   Micros now = 0;
