Reject a request that is still being written when a shutdown leaves no time for it

Need: a request that had begun to arrive was read for up to 2 s after its first byte, also beyond the earliest SIGKILL (where the longest client timeout is below some 2 s). If its last byte came just before SIGKILL it was taken, and there was no time left to answer it.

Ruled out: that such requests were lost otherwise.

Change: the server is told at SIGTERM until when answers are sure, and rejects then what is not complete: 503, Retry-After where settings allow, connection closed, recorded as rejected at intake. Nothing of it was sent, so each class may get it.

--- a/src/app/graceful_shutdown.cpp
+++ b/src/app/graceful_shutdown.cpp
@@ -33,9 +33,10 @@
 void ShutDownGracefully(net::Server& server, coordinator::Coordinator& coordinator,
                         const ShutdownContext& context) {
   const limits::ShutdownTimeouts& timeouts = context.timeouts;
-  server.Drain();
+  const Micros answer_by_us = context.terminated_us + timeouts.answer_within_us;
+  server.Drain(answer_by_us);
   if (context.listener_is_shared) server.StopAccepting();
-  coordinator.BeginShutdown(context.terminated_us + timeouts.answer_within_us);
+  coordinator.BeginShutdown(answer_by_us);
   log::Info(
       "shutting down; {} queries are in flight; answers are sure for {:.3f} s, SIGKILL may come after {:.3f} "
       "s "
--- a/src/decision_log/counts.h
+++ b/src/decision_log/counts.h
@@ -41,8 +41,9 @@
   kAnswerTimeout,       // the coordinator had no answer in time, so the front answered
   kPipelined,           // the client sent more data before it had its answer
   kClientDisconnected,
+  kShuttingDown,  // not complete when a shutdown left no time for it
 };
-constexpr std::size_t kIntakeResults = 9;
+constexpr std::size_t kIntakeResults = 10;
 
 // The class index of a request that names no known class.
 constexpr int kUnknownClass = 255;
--- a/src/decision_log/reason_text.cpp
+++ b/src/decision_log/reason_text.cpp
@@ -225,6 +225,8 @@
       return "the client sent more before it had its answer";
     case IntakeResult::kClientDisconnected:
       return "the client closed its connection";
+    case IntakeResult::kShuttingDown:
+      return "it was not complete when the process was about to end";
   }
   return "of a cause this program does not know";
 }
--- a/src/decision_log/record_format_check.cpp
+++ b/src/decision_log/record_format_check.cpp
@@ -32,7 +32,8 @@
 static_assert(Numbered({IntakeResult::kNone, IntakeResult::kUnreadable, IntakeResult::kMalformed,
                         IntakeResult::kDuplicateId, IntakeResult::kTooManyOpen,
                         IntakeResult::kTooManyConnections, IntakeResult::kAnswerTimeout,
-                        IntakeResult::kPipelined, IntakeResult::kClientDisconnected}));
+                        IntakeResult::kPipelined, IntakeResult::kClientDisconnected,
+                        IntakeResult::kShuttingDown}));
 static_assert(Numbered({RetentionGroup::kRejected, RetentionGroup::kPartial, RetentionGroup::kFailed,
                         RetentionGroup::kRejectedAtIntake, RetentionGroup::kClientDisconnected,
                         RetentionGroup::kEventful, RetentionGroup::kOrdinary}));
--- a/src/decision_log/wire_names.h
+++ b/src/decision_log/wire_names.h
@@ -16,7 +16,7 @@
     "open", "whole", "partial", "refused", "failed", "late", "gone", "turned_away"};
 inline constexpr std::array<std::string_view, kIntakeResults> kIntakeResultNames = {
     "none", "unreadable", "malformed", "duplicate_id", "too_many_open", "too_many_connections",
-    "late", "crowded",    "left"};
+    "late", "crowded",    "left",      "shutdown"};
 inline constexpr std::array<std::string_view, kRetentionGroups> kRetentionGroupNames = {
     "refused", "partial", "failed", "turned_away", "gone", "eventful", "ordinary"};
 inline constexpr std::array<std::string_view, kRecordLosses> kRecordLossNames = {
--- a/src/net/handler.h
+++ b/src/net/handler.h
@@ -38,6 +38,9 @@
   // The response to a rejected request. `request` is null if nothing has been read. Called on the reader
   // thread; must not block.
   virtual HttpResponse OverloadedResponse(const HttpMessage* request) = 0;
+  // The response to a request that is not complete when a shutdown leaves no time for it. Called on the
+  // reader thread; must not block.
+  virtual HttpResponse ShuttingDownResponse() = 0;
   // Called on the worker's thread after `bytes` of a response were written; `complete` says whether that is
   // all of it.
   virtual void OnResponseWritten(const std::vector<AnsweredQuery>& answered_queries, int status,
--- a/src/net/server.h
+++ b/src/net/server.h
@@ -9,9 +9,11 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <unordered_map>
+#include <vector>
 
 #include "coordinator/interfaces.h"
 #include "metrics/metrics.h"
@@ -23,6 +25,8 @@
 
 namespace liftrudder::net {
 
+constexpr Micros kNoTimeLimit = std::numeric_limits<Micros>::max();
+
 struct ServerLimits {
   int connections = 0;  // open at once
   int requests = 0;     // in progress at once
@@ -40,8 +44,13 @@
 
   // Applies new limits. Beyond a lower limit, requests are still answered and idle connections are closed.
   void Resize(const ServerLimits& limits);
-  // Called when the process is about to stop: reports not ready, but keeps serving until StopListening.
-  void Drain() { draining_ = true; }
+  // Called when the process is about to stop: reports not ready, but keeps serving until StopListening. A
+  // request that is not complete at `answer_by_us` is rejected then, since its last byte could come too late
+  // for an answer.
+  void Drain(Micros answer_by_us = kNoTimeLimit) {
+    answer_by_us_ = answer_by_us;
+    draining_ = true;
+  }
   // Starts or ends a drain by an operator. During the drain the server reports not ready; after a delay that
   // lets load balancers notice, connections are closed after their response or while idle, and new ones are
   // still served. Returns false if the state did not change.
@@ -66,6 +75,8 @@
   void AddSession(ClientConnection connection, Micros now_us);
   bool CloseUnused(Micros now_us);
   void CloseExpired(Micros now_us);
+  void RejectUnfinished(Micros now_us);
+  std::vector<SessionRef> OwnedSessions();
   void LimitHandshakes();
   void Receive(SessionRef session);
   bool ReadRequest(SessionRef session);
@@ -99,6 +110,7 @@
   LingeringCloser lingering_closer_;
   Fd epoll_;
   std::atomic<bool> draining_{false};
+  std::atomic<Micros> answer_by_us_{kNoTimeLimit};  // see Drain
   std::atomic<bool> accepting_stopped_{false};
   std::atomic<Micros> admin_drain_since_us_{0};  // 0: not drained by an operator
   std::atomic<bool> stopping_{false};            // set under the lock
--- a/src/net/server_reader.cpp
+++ b/src/net/server_reader.cpp
@@ -37,6 +37,7 @@
       accepting = false;
     }
     if (connection_pending && accepting) AcceptSome();
+    RejectUnfinished(clock_.Now());
     CloseExpired(clock_.Now());
     if (!stopping) continue;
     if (accepting) {
@@ -138,16 +139,10 @@
 }
 
 // While stopping: closes sessions without a request and returns whether no session is left. Waits for a
-// request that has begun to arrive, and gives a newly accepted connection kMinIdleUs to send one.
+// request that has begun to arrive (see RejectUnfinished), and gives a newly accepted connection kMinIdleUs
+// to send one.
 bool Server::CloseUnused(Micros now_us) {
-  std::vector<SessionRef> not_busy;
-  {
-    std::lock_guard lock(mutex_);
-    for (auto session = sessions_.begin(); session != sessions_.end(); ++session) {
-      if (session->phase != SessionPhase::kBusy) not_busy.push_back(session);
-    }
-  }
-  for (auto session : not_busy) {
+  for (auto session : OwnedSessions()) {
     bool just_accepted =
         session->phase == SessionPhase::kNew && now_us - session->phase_since_us < kMinIdleUs;
     bool request_begun = session->received_us != 0;
@@ -162,6 +157,25 @@
   return sessions_.empty();
 }
 
+// The sessions that the reader thread owns.
+std::vector<SessionRef> Server::OwnedSessions() {
+  std::vector<SessionRef> owned;
+  std::lock_guard lock(mutex_);
+  for (auto session = sessions_.begin(); session != sessions_.end(); ++session) {
+    if (session->phase != SessionPhase::kBusy) owned.push_back(session);
+  }
+  return owned;
+}
+
+void Server::RejectUnfinished(Micros now_us) {
+  if (now_us < answer_by_us_) return;
+  for (auto session : OwnedSessions()) {
+    if (session->received_us == 0) continue;
+    counters_.rejected_at_intake.Add();
+    RejectAndClose(session, handler_.ShuttingDownResponse());
+  }
+}
+
 void Server::CloseExpired(Micros now_us) {
   if (now_us - last_expiry_check_us_ < kMinExpiryCheckIntervalUs) return;
   last_expiry_check_us_ = now_us;
--- a/src/opensearch/front.cpp
+++ b/src/opensearch/front.cpp
@@ -33,6 +33,7 @@
       counters_(counters),
       explain_service_(explain_service),
       authenticates_(authenticator != nullptr),
+      retry_after_allowed_(config.settings.retry_after_allowed),
       access_(authenticator, clock, counters, config.seed),
       scrolls_(options, clock, config.seed, MaxScrollsPerOwner(options, authenticator)),
       queries_(config, coordinator, clock, counters, access_),
@@ -52,6 +53,12 @@
   return ErrorResponse(Unavailable("too many connections", kOverloadRetryUs));
 }
 
+net::HttpResponse Front::ShuttingDownResponse() {
+  coordinator_.RecordIntake(decision_log::IntakeResult::kShuttingDown, decision_log::FrontKind::kSearch,
+                            decision_log::kUnknownClass, kOverloadedStatus, "");
+  return ErrorResponse(Unavailable("shutting down", retry_after_allowed_ ? kOverloadRetryUs : 0));
+}
+
 void Front::OnResponseWritten(const std::vector<net::AnsweredQuery>& answered_queries, int status,
                               std::size_t bytes, bool fully_written) {
   coordinator_.RecordResponse(answered_queries, status, bytes, fully_written);
--- a/src/opensearch/front.h
+++ b/src/opensearch/front.h
@@ -29,6 +29,7 @@
   std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override;
   net::HttpResponse MalformedResponse(int status) override;
   net::HttpResponse OverloadedResponse(const net::HttpMessage* request) override;
+  net::HttpResponse ShuttingDownResponse() override;
   void OnResponseWritten(const std::vector<net::AnsweredQuery>& answered_queries, int status,
                          std::size_t bytes, bool fully_written) override;
 
@@ -43,6 +44,7 @@
   metrics::Counters& counters_;
   decision_log::ExplainService* explain_service_;
   const bool authenticates_;
+  const bool retry_after_allowed_;
   CallerAccess access_;
   Scrolls scrolls_;
   QueryRunner queries_;
--- a/src/platform/query_handler.cpp
+++ b/src/platform/query_handler.cpp
@@ -83,6 +83,14 @@
   return ErrorResponse(kStatus, kBusyRetryUs, "too many connections");
 }
 
+net::HttpResponse QueryHandler::ShuttingDownResponse() {
+  constexpr int kStatus = 503;
+  coordinator_.RecordIntake(decision_log::IntakeResult::kShuttingDown, decision_log::FrontKind::kPlatform,
+                            decision_log::kUnknownClass, kStatus, "");
+  const bool retry_after_allowed = config_.settings.retry_after_allowed;
+  return ErrorResponse(kStatus, retry_after_allowed ? kBusyRetryUs : 0, "shutting down");
+}
+
 void QueryHandler::OnResponseWritten(const std::vector<net::AnsweredQuery>& answered_queries, int status,
                                      std::size_t bytes, bool fully_written) {
   coordinator_.RecordResponse(answered_queries, status, bytes, fully_written);
--- a/src/platform/query_handler.h
+++ b/src/platform/query_handler.h
@@ -34,6 +34,7 @@
   std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override;
   net::HttpResponse MalformedResponse(int status) override;
   net::HttpResponse OverloadedResponse(const net::HttpMessage* request) override;
+  net::HttpResponse ShuttingDownResponse() override;
   void OnResponseWritten(const std::vector<net::AnsweredQuery>& answered_queries, int status,
                          std::size_t bytes, bool fully_written) override;
 
--- a/tests/app/key_rotation_test.cpp
+++ b/tests/app/key_rotation_test.cpp
@@ -41,6 +41,7 @@
   }
   net::HttpResponse MalformedResponse(int) override { return {}; }
   net::HttpResponse OverloadedResponse(const net::HttpMessage*) override { return {}; }
+  net::HttpResponse ShuttingDownResponse() override { return {}; }
   void OnResponseWritten(const std::vector<net::AnsweredQuery>&, int, std::size_t, bool) override {}
   bool Saw(const std::string& mark) {
     std::lock_guard lock(mutex_);
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -45,6 +45,7 @@
     return out;
   }
   net::HttpResponse OverloadedResponse(const net::HttpMessage*) override { return MalformedResponse(503); }
+  net::HttpResponse ShuttingDownResponse() override { return MalformedResponse(503); }
   void OnResponseWritten(const std::vector<net::AnsweredQuery>&, int, std::size_t, bool) override {}
 
   void BlockMalformed() {
@@ -227,6 +228,31 @@
   CHECK(ReadStatus(partial) == 200);
 }
 
+// Guards against a request whose last byte comes just before the process is killed, which nobody answers.
+TEST_CASE("a request that is not complete when a shutdown leaves no time is rejected") {
+  ServerFixture fixture;
+  net::Fd partial = net::Connect(fixture.addr, kTestTimeoutUs);
+  Send(partial, Request("/"));
+  CHECK(ReadStatus(partial) == 200);
+  net::Fd idle = net::Connect(fixture.addr, kTestTimeoutUs);
+  Send(idle, Request("/"));
+  CHECK(ReadStatus(idle) == 200);
+  Send(partial, "GET / HTTP/1.1\r\nHo");
+  SECTION("before the listener closes") {
+    fixture.server->Drain(fixture.clock.Now());
+    CHECK(ReadStatus(partial) == 503);
+    Send(idle, Request("/"));
+    CHECK(ReadStatus(idle) == 200);
+  }
+  SECTION("after that") {
+    fixture.server->StopListening();
+    CHECK(ReadStatus(idle) == 0);
+    fixture.server->Drain(fixture.clock.Now());
+    CHECK(ReadStatus(partial) == 503);
+  }
+  CHECK(ReadStatus(partial) == 0);
+}
+
 TEST_CASE("a client that disconnects while the server stops is detected") {
   ServerFixture fixture;
   net::Fd client = net::Connect(fixture.addr, kTestTimeoutUs);
--- a/tests/net/tls_server_test.cpp
+++ b/tests/net/tls_server_test.cpp
@@ -27,6 +27,7 @@
   }
   net::HttpResponse MalformedResponse(int status) override { return WithStatus(status); }
   net::HttpResponse OverloadedResponse(const net::HttpMessage*) override { return WithStatus(503); }
+  net::HttpResponse ShuttingDownResponse() override { return WithStatus(503); }
   void OnResponseWritten(const std::vector<net::AnsweredQuery>&, int, std::size_t, bool) override {}
 
  private:
