Count a client's timeout from the last byte of its request

Callers saw: a request written slowly, with a timeout about as long as the writing, was answered with 429 or 504 as soon as it was complete, although it could be served. users/PROTOCOL: "The time of a request counts from its last byte".

Cause: Server::ReadRequest took a request's time at its first byte, and both fronts compute the deadline from it. Ruled out: the shutdown (the same with a longest timeout of 10 s and a budget of 1 s), and load shedding alone (504 came from the front's own deadline, which had passed).

Change: the time is taken with the last byte. A request read in one piece has the same time as before; the limit on the time for a request counts from its first byte as before.

--- a/src/coordinator/messages.h
+++ b/src/coordinator/messages.h
@@ -60,7 +60,7 @@
 struct QueryRequest {
   int class_index = 0;
   bool is_retry = false;
-  Micros received_us = 0;  // when its first byte was read; 0: unknown
+  Micros received_us = 0;  // when its last byte was read; 0: unknown
   Micros deadline_us = 0;
   decision_log::FrontKind front = decision_log::FrontKind::kPlatform;
   // The client's own name for the query, at most decision_log::kMaxIdBytes bytes, for fronts that have one;
--- a/src/net/client_session.h
+++ b/src/net/client_session.h
@@ -31,6 +31,7 @@
   Micros phase_since_us = 0;
   Micros request_deadline_us = 0;  // when the complete request must have arrived
   Micros received_us = 0;          // when the request's first byte arrived; 0: none has arrived
+  Micros complete_us = 0;          // when its last byte arrived; valid while busy
   HttpParser parser{HttpParser::Kind::kRequest};
   std::string unparsed;
   std::shared_ptr<ReplyWaiter> reply_waiter;  // set while busy
--- a/src/net/handler.h
+++ b/src/net/handler.h
@@ -19,7 +19,7 @@
 // The context of one request. Valid during Handler::Handle.
 struct Exchange {
   ClientConnection* connection = nullptr;  // the handler may inspect it but must not write to it
-  Micros received_us = 0;                  // when the request's first byte arrived
+  Micros received_us = 0;  // when the request's last byte arrived; the client's timeout counts from then
   bool draining = false;
   std::vector<AnsweredQuery>* answered_queries = nullptr;  // the handler adds the queries it answers
   std::shared_ptr<ReplyWaiter> reply_waiter;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -102,7 +102,7 @@
 
 void Server::Respond(SessionRef session) {
   std::vector<AnsweredQuery> answered_queries;
-  Exchange exchange{&session->connection, session->received_us, !Ready(), &answered_queries,
+  Exchange exchange{&session->connection, session->complete_us, !Ready(), &answered_queries,
                     session->reply_waiter};
   std::optional<HttpResponse> response = handler_.Handle(session->parser.message(), exchange);
   if (!response) {
--- a/src/net/server_reader.cpp
+++ b/src/net/server_reader.cpp
@@ -252,7 +252,10 @@
       RejectAndClose(session, handler_.MalformedResponse(400));
       return false;
     }
-    if (complete) return true;
+    if (complete) {
+      session->complete_us = clock_.Now();
+      return true;
+    }
   }
   AwaitReadable(*session);
   return false;
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -30,6 +30,7 @@
   std::optional<net::HttpResponse> Handle(net::HttpMessage& request, const net::Exchange& exchange) override {
     std::unique_lock lock(mutex_);
     reply_waiter_ = exchange.reply_waiter;
+    received_us_ = exchange.received_us;
     ++requests_;
     changed_.notify_all();
     if (request.target == "/held") changed_.wait(lock, [this] { return released_; });
@@ -69,11 +70,17 @@
     std::lock_guard lock(mutex_);
     return reply_waiter_;
   }
+  // Exchange::received_us of the last request.
+  net::Micros received_us() {
+    std::lock_guard lock(mutex_);
+    return received_us_;
+  }
 
  private:
   std::mutex mutex_;  // guards everything below
   std::condition_variable changed_;
   std::shared_ptr<net::ReplyWaiter> reply_waiter_;
+  net::Micros received_us_ = 0;
   int requests_ = 0;
   int malformed_ = 0;
   bool released_ = false;
@@ -213,6 +220,20 @@
   stopped.get();
 }
 
+// Guards against a request of a slow writer whose timeout is over when it is complete.
+TEST_CASE("a request counts as received with its last byte") {
+  ServerFixture fixture;
+  net::Fd slow = net::Connect(fixture.addr, kTestTimeoutUs);
+  Send(slow, "GET / HTTP/1.1\r\nHo");
+  net::Fd other = net::Connect(fixture.addr, kTestTimeoutUs);
+  Send(other, Request("/"));
+  CHECK(ReadStatus(other) == 200);  // the reader thread has read the first bytes
+  net::Micros completed_us = fixture.clock.Now();
+  Send(slow, "st: g\r\n\r\n");
+  CHECK(ReadStatus(slow) == 200);
+  CHECK(fixture.handler.received_us() >= completed_us);
+}
+
 TEST_CASE("a request that has partly arrived when the listener closes is read and answered") {
   ServerFixture fixture;
   net::Fd partial = net::Connect(fixture.addr, kTestTimeoutUs);
