--- a/src/app/graceful_shutdown.h
+++ b/src/app/graceful_shutdown.h
@@ -18,7 +18,7 @@
   const coordinator::Clock& clock;
   Reloader& reloader;
   limits::ShutdownTimeouts timeouts;
-  Micros terminated_us = 0;         // when the process was told to end
+  Micros terminated_us = 0;         // when the process received SIGTERM
   bool listener_is_shared = false;  // another process accepts on the same listener
 };
 
--- a/src/coordinator/input.h
+++ b/src/coordinator/input.h
@@ -23,7 +23,7 @@
   decision_log::IntakeResult reason = decision_log::IntakeResult::kClientDisconnected;
 };
 
-// The process has been told to end.
+// The process has received SIGTERM.
 struct Shutdown {
   Micros answer_by_us = 0;  // until when a final answer is sure to reach its client
 };
--- a/src/limits/shutdown_timeouts.h
+++ b/src/limits/shutdown_timeouts.h
@@ -1,4 +1,4 @@
-// How much time a coordinator has once it has been told to end (SIGTERM). Computed from the settings alone,
+// How much time a coordinator has for a graceful shutdown, from SIGTERM on. Computed from the settings alone,
 // without clock or I/O. Thread-safe.
 #ifndef LIFTRUDDER_LIMITS_SHUTDOWN_TIMEOUTS_H_
 #define LIFTRUDDER_LIMITS_SHUTDOWN_TIMEOUTS_H_
@@ -7,7 +7,7 @@
 
 namespace liftrudder::limits {
 
-// All spans begin when the process is told to end.
+// All spans begin when the process receives SIGTERM.
 struct ShutdownTimeouts {
   routing::Micros longest_client_timeout_us = 0;  // of any class
   // How long new clients are still accepted, since load balancers notice late.
