Log when keys and certificates were last checked, and which keys are in force

Neither the log nor a counter told apart the two explanations: the key file was not read, or it was read and a cached token was still accepted. Changes of keys are logged only when they are noticed.

Change: counters credential_checks and credentials_checked_ms (Unix time), after all others; a log line at SIGTERM and when the last connection has ended says how often and when the files were last checked and names the keys that are not withdrawn (16 at most, the rest is counted).

--- a/src/app/coordinator_server.cpp
+++ b/src/app/coordinator_server.cpp
@@ -56,7 +56,8 @@
 void CoordinatorServer::Run() {
   Start();
   Reloader reloader(options_.config_path,
-                    {discovery_watch_ ? &*discovery_watch_ : nullptr, options_.identity.get(), tls_.get()});
+                    {discovery_watch_ ? &*discovery_watch_ : nullptr, options_.identity.get(), tls_.get()},
+                    clock_, runtime_.counters());
   ServeUntilTerminated(reloader);
   ShutDown(reloader);
 }
@@ -152,10 +153,12 @@
   const coordinator::Micros terminated_us = clock_.Now();
   runtime_.connection_budget().Attach(nullptr);
   admin_handler_->Attach(nullptr);
+  reloader.LogWatchedFiles();
   ShutDownGracefully(*server_, runtime_.coordinator(),
                      {signals_, clock_, reloader, limits::ShutdownTimeoutsOf(config_.settings), terminated_us,
                       !options_.passed_socket.empty()});
   server_.reset();
+  reloader.LogWatchedFiles();
   handler_.reset();
   zone_source_.reset();
   discovery_watch_.reset();
--- a/src/app/reload.h
+++ b/src/app/reload.h
@@ -7,6 +7,8 @@
 
 #include "app/identity_files.h"
 #include "app/tls_files.h"
+#include "coordinator/interfaces.h"
+#include "metrics/metrics.h"
 #include "platform/discovery.h"
 
 namespace liftrudder::app {
@@ -20,7 +22,9 @@
 
 class Reloader {
  public:
-  Reloader(std::string config_path, ReloadTargets targets);
+  // `clock` and `counters` outlive the object.
+  Reloader(std::string config_path, ReloadTargets targets, const coordinator::Clock& clock,
+           metrics::Counters& counters);
 
   // Reads all files again. Errors are logged, and the current settings are kept.
   void Reload();
@@ -29,12 +33,18 @@
   bool HasWatchedFiles() const { return targets_.identity != nullptr || targets_.tls != nullptr; }
   // Reads again the keys and certificates whose files have changed.
   void PollFiles();
+  // Logs when the watched files were last checked, and which keys are in force. Does nothing without such
+  // files.
+  void LogWatchedFiles() const;
 
  private:
   void ReloadDiscoveryAddress();
+  void CountCheck();
 
   const std::string config_path_;
   const ReloadTargets targets_;
+  const coordinator::Clock& clock_;
+  metrics::Counters& counters_;
 };
 
 }  // namespace liftrudder::app
--- a/src/identity/authenticator.h
+++ b/src/identity/authenticator.h
@@ -58,6 +58,7 @@
   tl::expected<Principal, AuthenticationError> Authenticate(const Credentials& credentials, Micros now_us);
 
   std::shared_ptr<const PermissionTable> permission_table() const;
+  std::shared_ptr<const KeySet> keys() const { return token_verifier_.keys(); }
 
  private:
   TokenVerifier token_verifier_;
--- a/src/identity/keys.cpp
+++ b/src/identity/keys.cpp
@@ -86,6 +86,23 @@
   return lines;
 }
 
+std::string Describe(const KeySet& keys) {
+  std::string text;
+  std::size_t named = 0;
+  std::size_t unnamed = 0;
+  for (const auto& [kid, key] : keys.keys()) {
+    if (key.state == KeyState::kWithdrawn) continue;
+    if (named == kMaxDescribedKeys) {
+      ++unnamed;
+      continue;
+    }
+    text += fmt::format("{}'{}' {}", named == 0 ? "" : ", ", kid, Name(key.state));
+    ++named;
+  }
+  if (unnamed > 0) text += fmt::format(" and {} more", unnamed);
+  return text.empty() ? "none" : text;
+}
+
 std::optional<ReadError> KeyIdRegistry::Register(const KeySet& keys) {
   std::size_t new_kids = 0;
   for (const auto& [kid, key] : keys.keys()) {
--- a/src/identity/keys.h
+++ b/src/identity/keys.h
@@ -70,6 +70,11 @@
 // Returns one line of text for each key that differs, for the log and the `keys` sub-command.
 std::vector<std::string> Differences(const KeySet& before, const KeySet& after);
 
+// The kids of all keys that are not withdrawn, each with its state, for the log. At most kMaxDescribedKeys
+// are named; the rest are counted.
+constexpr std::size_t kMaxDescribedKeys = 16;
+std::string Describe(const KeySet& keys);
+
 // Records which key each kid has named since the program started. A kid must never be reused for another key:
 // tokens of the old key would be checked against the new one, and an audit line with that kid would be
 // ambiguous. Not thread-safe.
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -40,6 +40,8 @@
   line(wire_names::kConnectionsMisnamed, misnamed_responses);
   line(wire_names::kConnectionsUnnamed, unnamed_responses);
   line(wire_names::kQueriesShortened, shortened_queries);
+  line(wire_names::kCredentialChecks, credential_checks);
+  line(wire_names::kCredentialsCheckedMs, credentials_checked_ms);
   return text;
 }
 
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -56,6 +56,10 @@
 
   Counter shortened_queries;  // received in a shutdown, with less time than their clients wait
 
+  // Checks whether the files of keys, permissions and certificates have changed.
+  Counter credential_checks;
+  Counter credentials_checked_ms;  // Unix time of the last check; 0: none yet
+
   // One line for each counter: its name, a space, its value.
   std::string Text() const;
 };
--- a/src/metrics/wire_names.h
+++ b/src/metrics/wire_names.h
@@ -33,6 +33,8 @@
 inline constexpr const char* kConnectionsMisnamed = "connections_misnamed";
 inline constexpr const char* kConnectionsUnnamed = "connections_unnamed";
 inline constexpr const char* kQueriesShortened = "queries_shortened";
+inline constexpr const char* kCredentialChecks = "credential_checks";
+inline constexpr const char* kCredentialsCheckedMs = "credentials_checked_ms";
 
 // OperatorFigures::Text; the figures by class carry the label kClassLabel.
 inline constexpr const char* kClassLabel = "group";
--- a/tests/identity/identity_test.cpp
+++ b/tests/identity/identity_test.cpp
@@ -244,6 +244,19 @@
   CHECK(ErrorOf(token_verifier.Verify(token, kNow)) == TokenError::kUnknownKey);
 }
 
+TEST_CASE("a key set is described by the states of its keys, without those that are withdrawn") {
+  const auto set = MakeKeySet({WithMember(Ed25519Signer().Jwk("a"), "state", "announced"),
+                               WithMember(P256Signer().Jwk("b"), "state", "withdrawn")});
+  CHECK(Describe(*set) == "'a' announced");
+  CHECK(Describe(*MakeKeySet({})) == "none");
+  std::vector<Json> keys;
+  for (std::size_t i = 0; i < kMaxDescribedKeys + 2; ++i)
+    keys.push_back(Signer(true).Jwk(fmt::format("k{:02}", i)));
+  const std::string text = Describe(*MakeKeySet(keys));
+  CHECK(text.find("'k15' active and 2 more") != std::string::npos);
+  CHECK(text.find("'k16'") == std::string::npos);
+}
+
 TEST_CASE("the token cache is bounded, and cached tokens expire") {
   TokenVerifier token_verifier(kRequirements, 8);
   REQUIRE_FALSE(token_verifier.ReplaceKeys(MakeKeySet({Ed25519Signer().Jwk("a")})));
