Check keys, permissions and certificates on their own thread until the last connection ends

Cause: the main thread checked the files in the loop that waits for signals, and that loop ends at SIGTERM; ShutDownGracefully waits on the same thread and never checks.

Change: CredentialWatcher checks on a thread of its own, from before the listener opens until the server has been destroyed, whatever the main thread waits for; this includes the start-up and its wait for the first endpoint list. SIGHUP asks that thread for a reload. Without identity and TLS there is no such thread. Why it works: nothing that the main thread does can hold the check back, and the watcher ends after the server.

--- a/src/app/coordinator_server.cpp
+++ b/src/app/coordinator_server.cpp
@@ -7,7 +7,6 @@
 
 #include "app/graceful_shutdown.h"
 #include "app/startup_error.h"
-#include "app/watched_files.h"
 #include "config/config.h"
 #include "dns/zone.h"
 #include "limits/shutdown_timeouts.h"
@@ -55,14 +54,14 @@
 
 void CoordinatorServer::Run() {
   Start();
-  Reloader reloader(options_.config_path,
-                    {discovery_watch_ ? &*discovery_watch_ : nullptr, options_.identity.get(), tls_.get()},
-                    clock_, runtime_.counters());
+  Reloader reloader(options_.config_path, {discovery_watch_ ? &*discovery_watch_ : nullptr,
+                                           credential_watcher_ ? &*credential_watcher_ : nullptr});
   ServeUntilTerminated(reloader);
   ShutDown(reloader);
 }
 
 void CoordinatorServer::Start() {
+  StartCredentialWatcher();
   OpenAdminAddress();
   OpenEndpointSource();
   OpenHandler();
@@ -71,6 +70,11 @@
   OpenServer(std::move(listener));
 }
 
+void CoordinatorServer::StartCredentialWatcher() {
+  const CredentialFiles files{options_.identity.get(), tls_.get()};
+  if (files.Any()) credential_watcher_.emplace(files, clock_, runtime_.counters());
+}
+
 void CoordinatorServer::OpenAdminAddress() {
   admin_handler_.emplace(runtime_.figures(), [this] { runtime_.RefreshFigures(); });
   if (config_.admin_address.empty()) return;
@@ -140,12 +144,10 @@
 
 void CoordinatorServer::ServeUntilTerminated(Reloader& reloader) {
   while (true) {
-    const ControlSignal signal =
-        reloader.HasWatchedFiles() ? signals_.WaitFor(kPollIntervalUs) : signals_.Wait();
+    const ControlSignal signal = signals_.Wait();
     if (signal == ControlSignal::kTerminate) return;
     if (signal == ControlSignal::kReload) reloader.Reload();
     if (signal == ControlSignal::kPrintCounters) log::Info("counters\n{}", runtime_.counters().Text());
-    reloader.PollFiles();
   }
 }
 
@@ -153,12 +155,13 @@
   const coordinator::Micros terminated_us = clock_.Now();
   runtime_.connection_budget().Attach(nullptr);
   admin_handler_->Attach(nullptr);
-  reloader.LogWatchedFiles();
+  if (credential_watcher_) credential_watcher_->LogState();
   ShutDownGracefully(*server_, runtime_.coordinator(),
                      {signals_, clock_, reloader, limits::ShutdownTimeoutsOf(config_.settings), terminated_us,
                       !options_.passed_socket.empty()});
   server_.reset();
-  reloader.LogWatchedFiles();
+  if (credential_watcher_) credential_watcher_->LogState();
+  credential_watcher_.reset();
   handler_.reset();
   zone_source_.reset();
   discovery_watch_.reset();
--- a/src/app/identity_files.h
+++ b/src/app/identity_files.h
@@ -1,7 +1,7 @@
 // The files that identify clients and their permissions: the operator's file with the permission table, and
 // the key set that it names, which is polled for changes. Both are read again on reload. A file that is
 // unreadable or invalid changes nothing; while the key set stays unusable for the same reason, the error is
-// logged once. Main thread only, except for the authenticator.
+// logged once. One thread at a time, except for the authenticator.
 #ifndef LIFTRUDDER_APP_IDENTITY_FILES_H_
 #define LIFTRUDDER_APP_IDENTITY_FILES_H_
 
@@ -22,8 +22,7 @@
   static std::unique_ptr<IdentityFiles> Open(const std::string& operator_file, std::string_view text);
 
   identity::Authenticator& authenticator() { return authenticator_; }
-  // Reads the key set again if its file has changed. To be called at least every kPollIntervalUs
-  // (watched_files.h), so that a withdrawn key is rejected within a second.
+  // Reads the key set again if its file has changed.
   void Poll();
   // Reads both files again, changed or not.
   void Reload();
--- a/src/app/reload.cpp
+++ b/src/app/reload.cpp
@@ -7,44 +7,13 @@
 #include "log/log.h"
 
 namespace liftrudder::app {
-namespace {
 
-constexpr coordinator::Micros kMicrosPerMilli = 1000;
-
-}  // namespace
-
-Reloader::Reloader(std::string config_path, ReloadTargets targets, const coordinator::Clock& clock,
-                   metrics::Counters& counters)
-    : config_path_(std::move(config_path)), targets_(targets), clock_(clock), counters_(counters) {
-  CountCheck();  // the files were read at start-up
-}
+Reloader::Reloader(std::string config_path, ReloadTargets targets)
+    : config_path_(std::move(config_path)), targets_(targets) {}
 
 void Reloader::Reload() {
+  if (targets_.credential_watcher != nullptr) targets_.credential_watcher->RequestReload();
   ReloadDiscoveryAddress();
-  if (targets_.identity != nullptr) targets_.identity->Reload();
-  if (targets_.tls != nullptr) targets_.tls->Reload();
-  CountCheck();
-}
-
-void Reloader::PollFiles() {
-  if (targets_.identity != nullptr) targets_.identity->Poll();
-  if (targets_.tls != nullptr) targets_.tls->Poll();
-  CountCheck();
-}
-
-void Reloader::CountCheck() {
-  if (!HasWatchedFiles()) return;
-  counters_.credential_checks.Add();
-  counters_.credentials_checked_ms.Set(clock_.Now() / kMicrosPerMilli);
-}
-
-void Reloader::LogWatchedFiles() const {
-  if (!HasWatchedFiles()) return;
-  const std::int64_t age_ms = clock_.Now() / kMicrosPerMilli - counters_.credentials_checked_ms.Value();
-  const std::string keys =
-      targets_.identity == nullptr ? "none" : identity::Describe(*targets_.identity->authenticator().keys());
-  log::Info("audit: keys, permissions and certificates were checked {} times, last {} ms ago; keys: {}",
-            counters_.credential_checks.Value(), age_ms, keys);
 }
 
 void Reloader::ReloadDiscoveryAddress() {
--- a/src/app/tls_files.h
+++ b/src/app/tls_files.h
@@ -1,6 +1,6 @@
 // The TLS files that the operator's file names: read at start-up, polled for changes, read again on reload.
 // Files that are unreadable or invalid change nothing; while they remain unusable for the same reason, the
-// error is logged once. Main thread only, except for reloadable_context(), which is for any thread.
+// error is logged once. One thread at a time, except for reloadable_context(), which is for any thread.
 #ifndef LIFTRUDDER_APP_TLS_FILES_H_
 #define LIFTRUDDER_APP_TLS_FILES_H_
 
--- a/src/app/watched_files.h
+++ b/src/app/watched_files.h
@@ -8,7 +8,7 @@
 
 namespace liftrudder::app {
 
-// How often watched files are polled. Changes must take effect within a second, reading the file included.
+// How often watched files are checked. Changes must take effect within a second, reading the file included.
 constexpr std::int64_t kPollIntervalUs = 250'000;
 
 // Resolves `path` against the directory of the operator's file, whatever the working directory is.
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -122,6 +122,8 @@
   Thread(Thread&& other) noexcept;
   Thread& operator=(Thread&& other) noexcept;
   ~Thread() { Join(); }
+  // False if the system could not start the thread, and after Join.
+  bool Started() const { return running_; }
   void Join();
 
  private:
--- a/tests/scenario/client_statements.cpp
+++ b/tests/scenario/client_statements.cpp
@@ -65,7 +65,7 @@
   Write(Client(statement.subject), HttpRequest("POST", "/api", QueryHeaders(call_id, "whole", "8"), body));
 }
 
-void Player::Http(const Statement& statement) {
+std::string Player::HttpText(const Statement& statement) {
   std::istringstream words(statement.arguments);
   std::string method;
   std::string target;
@@ -73,7 +73,20 @@
   words >> method >> target;
   std::getline(words >> std::ws, body);
   const std::string& headers = authorization_headers_[statement.subject];
-  Write(Client(statement.subject), HttpRequest(method, target, headers, Unescape(body)));
+  return HttpRequest(method, target, headers, Unescape(body));
+}
+
+void Player::Http(const Statement& statement) { Write(Client(statement.subject), HttpText(statement)); }
+
+void Player::BeginHttp(const Statement& statement) {
+  std::string text = HttpText(statement);
+  last_bytes_[statement.subject] = text.substr(text.size() - 1);
+  text.pop_back();
+  Write(Client(statement.subject), text);
+}
+
+void Player::CompleteHttp(const Statement& statement) {
+  Write(Client(statement.subject), last_bytes_.at(statement.subject));
 }
 
 const Signer& Player::SignerFor(const std::string& kid) {
--- a/tests/scenario/player.cpp
+++ b/tests/scenario/player.cpp
@@ -60,6 +60,8 @@
       {"query", &Player::Query},
       {"post", &Player::Post},
       {"http", &Player::Http},
+      {"begin", &Player::BeginHttp},
+      {"complete", &Player::CompleteHttp},
       {"keys", &Player::WriteKeys},
       {"token", &Player::SetToken},
       {"tls", &Player::WriteTls},
--- a/tests/scenario/player.h
+++ b/tests/scenario/player.h
@@ -82,6 +82,9 @@
   void Query(const Statement& statement);
   void Post(const Statement& statement);
   void Http(const Statement& statement);
+  void BeginHttp(const Statement& statement);
+  void CompleteHttp(const Statement& statement);
+  std::string HttpText(const Statement& statement);
   void WriteKeys(const Statement& statement);
   void SetToken(const Statement& statement);
   void WriteTls(const Statement& statement);
@@ -136,6 +139,7 @@
 
   std::map<std::string, Peer> endpoints_;
   std::map<std::string, Peer> clients_;
+  std::map<std::string, std::string> last_bytes_;   // of requests that clients have begun
   std::map<std::string, std::string> aliases_;      // endpoint names by `it` and `other`
   std::map<std::string, std::string> kept_values_;  // by the NAME of `keep`
   std::string last_message_;                        // consumed by `expect` last
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -11,6 +11,7 @@
 //   query C ID CLASS BUDGET SHARDS [KEY]   client C sends a platform query for shards such as 0,1
 //   post C ID BODY           client C sends any body in the class `whole` with a timeout of 8 s
 //   http C METHOD TARGET [BODY]            client C sends any request, with its Content-Length
+//   begin C METHOD TARGET [BODY]           the same without the last byte, which `complete C` sends
 //   send X TEXT              sends bytes on X's connection (escapes: \r, \n, \xNN); an endpoint sends a frame
 //   bytes X TEXT             the same without a frame, on the connection of X's last expected message
 //   flood C SIZE TEXT        client C sends TEXT and SIZE more bytes without reading the response
