Try again to read changed keys, permissions and certificates after a failed read

Callers saw (played on the started program): with no descriptor free at the moment of the check, a key that was withdrawn, a certificate that was revoked or permissions that were taken away stayed in force for as long as we looked (20 s) after descriptors were free again; the discovery address of a SIGHUP was not taken either.

Cause: the stamp of a file was noted before the read and kept when the read failed, so the next checks saw no change; what SIGHUP reads was read once. Ruled out: the check itself had stopped (in 3 s credential_checks grew from 4 to 16, the token was accepted).

Change: a failed read (UnreadableFileError) is told from an invalid content; a stamp counts only for content that was read; what a reload could not read is tried again at the interval of the checks, each error logged once. ReadFile no longer returns part of a file when a read fails midway. An unexpected error in a check has all files read again at the next one. Why it works: nothing but content that was read can make a check believe that it knows the file.

--- a/src/app/coordinator_server.cpp
+++ b/src/app/coordinator_server.cpp
@@ -7,6 +7,7 @@
 
 #include "app/graceful_shutdown.h"
 #include "app/startup_error.h"
+#include "app/watched_files.h"
 #include "config/config.h"
 #include "dns/zone.h"
 #include "limits/shutdown_timeouts.h"
@@ -144,10 +145,12 @@
 
 void CoordinatorServer::ServeUntilTerminated(Reloader& reloader) {
   while (true) {
-    const ControlSignal signal = signals_.Wait();
+    const ControlSignal signal =
+        reloader.RetryPending() ? signals_.WaitFor(kPollIntervalUs) : signals_.Wait();
     if (signal == ControlSignal::kTerminate) return;
     if (signal == ControlSignal::kReload) reloader.Reload();
     if (signal == ControlSignal::kPrintCounters) log::Info("counters\n{}", runtime_.counters().Text());
+    reloader.Retry();
   }
 }
 
--- a/src/app/credential_watcher.cpp
+++ b/src/app/credential_watcher.cpp
@@ -50,25 +50,28 @@
 }
 
 void CredentialWatcher::Run() {
+  bool complete = true;
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    const bool reload = std::exchange(reload_requested_, false);
+    const bool reload = std::exchange(reload_requested_, false) || !complete;
     lock.unlock();
-    Check(reload);
+    complete = Check(reload);
     lock.lock();
     wake_.wait_for(lock, std::chrono::microseconds(kPollIntervalUs),
                    [this] { return stopping_ || reload_requested_; });
   }
 }
 
-void CredentialWatcher::Check(bool reload) {
+bool CredentialWatcher::Check(bool reload) {
   try {
     if (files_.identity != nullptr) reload ? files_.identity->Reload() : files_.identity->Poll();
     if (files_.tls != nullptr) reload ? files_.tls->Reload() : files_.tls->Poll();
     CountCheck();
+    return true;
   } catch (const std::exception& error) {
-    // The next check must still come.
-    log::Error("check of keys and certificates: {}", error.what());
+    log::Error("check of keys and certificates: {}; reading all of them again at the next check",
+               error.what());
+    return false;
   }
 }
 
--- a/src/app/credential_watcher.h
+++ b/src/app/credential_watcher.h
@@ -40,7 +40,8 @@
  private:
   // The watcher's thread.
   void Run();
-  void Check(bool reload);
+  // Returns false if the check was cut short by an unexpected error.
+  bool Check(bool reload);
   void CountCheck();
 
   const CredentialFiles files_;
--- a/src/app/graceful_shutdown.cpp
+++ b/src/app/graceful_shutdown.cpp
@@ -16,6 +16,7 @@
 
 void HandlePendingReload(const ShutdownContext& context) {
   if (context.signals.WaitFor(0) == ControlSignal::kReload) context.reloader.Reload();
+  context.reloader.Retry();
 }
 
 void KeepListening(const ShutdownContext& context) {
--- a/src/app/identity_files.cpp
+++ b/src/app/identity_files.cpp
@@ -39,25 +39,27 @@
       authenticator_(std::move(permission_table)) {}
 
 void IdentityFiles::Poll() {
+  if (permissions_requested_) ReadPermissions();
   if (ReadFileStamp(keys_file_) != last_stamp_) ReadKeys();
 }
 
 void IdentityFiles::Reload() {
-  try {
-    ReadPermissions();
-  } catch (const std::runtime_error& error) {
-    log::Error("{}; keeping the current permissions", error.what());
-  }
+  permissions_requested_ = true;
+  last_permissions_error_.clear();
+  ReadPermissions();
   ReadKeys();
 }
 
 void IdentityFiles::ReadKeys() {
   // Stamped before it is read, so that the next poll notices a change during the read.
-  last_stamp_ = ReadFileStamp(keys_file_);
+  const FileStamp stamp = ReadFileStamp(keys_file_);
+  last_stamp_.reset();
   std::vector<std::string> changes;
   std::string problem;
   try {
-    auto replaced = authenticator_.ReplaceKeys(config::ReadFile(keys_file_));
+    const std::string text = config::ReadFile(keys_file_);
+    last_stamp_ = stamp;
+    auto replaced = authenticator_.ReplaceKeys(text);
     if (replaced) {
       changes = std::move(*replaced);
     } else {
@@ -73,7 +75,21 @@
 }
 
 void IdentityFiles::ReadPermissions() {
-  const std::string text = config::ReadFile(operator_file_);
+  std::string problem;
+  try {
+    const std::string text = config::ReadFile(operator_file_);
+    permissions_requested_ = false;
+    ReplacePermissions(text);
+  } catch (const std::runtime_error& error) {
+    problem = error.what();
+  }
+  if (!problem.empty() && problem != last_permissions_error_) {
+    log::Error("{}; keeping the current permissions", problem);
+  }
+  last_permissions_error_ = problem;
+}
+
+void IdentityFiles::ReplacePermissions(std::string_view text) {
   identity::PermissionTable table = ParsePermissions(net::json::FindMember(text, wire::kIdentityMember));
   std::string keys_file = ResolvePath(operator_file_, table.keys_file);
   auto changes = authenticator_.ReplacePermissions(std::move(table));
--- a/src/app/tls_files.cpp
+++ b/src/app/tls_files.cpp
@@ -107,7 +107,8 @@
 
 void TlsFiles::ReadMaterial() {
   // Stamped before they are read, so that the next poll notices a change during the read.
-  last_stamps_ = Stamps();
+  std::vector<PathStamp> stamps = Stamps();
+  last_stamps_.reset();
   net::TlsConfig tls_config;
   for (const KeyPairPaths& pair : paths_.key_pairs) {
     tls_config.key_pairs.push_back({ReadBoundedFile(pair.certificate), ReadBoundedFile(pair.key)});
@@ -115,6 +116,7 @@
   if (!paths_.client_issuers.empty()) tls_config.client_ca = ReadBoundedFile(paths_.client_issuers);
   if (!paths_.revocations.empty()) tls_config.revocation_lists = ReadBoundedFile(paths_.revocations);
   tls_config.client_required = paths_.client_certificate_required;
+  last_stamps_ = std::move(stamps);
   std::shared_ptr<const net::TlsContext> current = reloadable_context_.Get();
   if (current != nullptr && current->config() == tls_config) return;
   auto context = net::TlsContext::Create(std::move(tls_config), clock_, current.get());
@@ -126,24 +128,39 @@
 }
 
 void TlsFiles::Poll() {
-  if (Stamps() == last_stamps_) return;
+  if (paths_requested_) ReadPathsAgain();
+  if (last_stamps_ == Stamps()) return;
+  std::string problem;
   try {
     ReadMaterial();
-    last_error_.clear();
   } catch (const std::runtime_error& error) {
-    if (last_error_ != error.what()) log::Error("{}; keeping the current certificates", error.what());
-    last_error_ = error.what();
+    problem = error.what();
   }
+  LogOnce(problem, "keeping the current certificates", last_error_);
 }
 
 void TlsFiles::Reload() {
+  paths_requested_ = true;
+  last_paths_error_.clear();
+  last_stamps_.reset();
+  Poll();
+}
+
+void TlsFiles::ReadPathsAgain() {
+  std::string problem;
   try {
-    paths_ = ReadPaths(net::json::FindMember(config::ReadFile(operator_file_), wire::kTlsMember));
+    const std::string text = config::ReadFile(operator_file_);
+    paths_requested_ = false;
+    paths_ = ReadPaths(net::json::FindMember(text, wire::kTlsMember));
   } catch (const std::runtime_error& error) {
-    log::Error("{}; keeping the current file names", error.what());
+    problem = error.what();
   }
-  last_stamps_.clear();
-  Poll();
+  LogOnce(problem, "keeping the current file names", last_paths_error_);
+}
+
+void TlsFiles::LogOnce(const std::string& problem, const char* consequence, std::string& last) {
+  if (!problem.empty() && problem != last) log::Error("{}; {}", problem, consequence);
+  last = problem;
 }
 
 }  // namespace liftrudder::app
--- a/src/app/tls_files.h
+++ b/src/app/tls_files.h
@@ -1,10 +1,12 @@
 // The TLS files that the operator's file names: read at start-up, polled for changes, read again on reload.
 // Files that are unreadable or invalid change nothing; while they remain unusable for the same reason, the
-// error is logged once. One thread at a time, except for reloadable_context(), which is for any thread.
+// error is logged once. A file that could not be read is tried again at each poll. One thread at a time,
+// except for reloadable_context(), which is for any thread.
 #ifndef LIFTRUDDER_APP_TLS_FILES_H_
 #define LIFTRUDDER_APP_TLS_FILES_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,7 +24,7 @@
                                         const coordinator::Clock& clock);
 
   const net::ReloadableTlsContext& reloadable_context() const { return reloadable_context_; }
-  // Reads the files again if one of them has changed.
+  // Reads the files again if one of them has changed, and whatever could not be read before.
   void Poll();
   // Reads the operator's file again, then the files that it names.
   void Reload();
@@ -50,14 +52,19 @@
   Paths ReadPaths(std::string_view tls_member) const;
   void ReadMaterial();
 
+  void ReadPathsAgain();
+  // Logs a problem unless it is `last`, which it replaces.
+  static void LogOnce(const std::string& problem, const char* consequence, std::string& last);
   std::vector<PathStamp> Stamps() const;
 
   const std::string operator_file_;
   const coordinator::Clock& clock_;
   Paths paths_;
-  std::vector<PathStamp> last_stamps_;
+  std::optional<std::vector<PathStamp>> last_stamps_;  // when the files were last read; none if that failed
+  bool paths_requested_ = false;  // by a reload that could not read the operator's file yet
   net::ReloadableTlsContext reloadable_context_;
-  std::string last_error_;  // already logged; empty on success
+  std::string last_error_;        // already logged; empty on success
+  std::string last_paths_error_;  // the same for the operator's file
 };
 
 }  // namespace liftrudder::app
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -3,9 +3,11 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <fstream>
 #include <sstream>
+#include <system_error>
 
 #include "config/endpoint_list.h"
 #include "config/routing_settings.h"
@@ -158,10 +160,15 @@
 }
 
 std::string ReadFile(const std::string& path) {
+  errno = 0;
   std::ifstream file(path, std::ios::binary);
-  if (!file) throw ConfigError("cannot read " + path);
   std::ostringstream content;
-  content << file.rdbuf();
+  if (file) content << file.rdbuf();
+  // The stream is bad after a failed read; an empty file only sets its failbit.
+  if (!file || content.bad()) {
+    const std::string reason = errno == 0 ? "" : ": " + std::generic_category().message(errno);
+    throw UnreadableFileError("cannot read " + path + reason);
+  }
   return content.str();
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -49,7 +49,7 @@
 // Sets the admin address and reserves the admin server's descriptors. Does nothing when `address` is empty or
 // the configuration already has one.
 void SetAdminAddress(Config& config, const std::string& address);
-// Returns the content of the file. Throws ConfigError that names the path.
+// Returns the content of the file. Throws UnreadableFileError, which names the path and the system's reason.
 std::string ReadFile(const std::string& path);
 
 }  // namespace liftrudder::config
--- a/src/config/config_error.h
+++ b/src/config/config_error.h
@@ -28,6 +28,12 @@
   std::string value_;
 };
 
+// A file could not be read, so nothing is known about its content; a later attempt may succeed.
+class UnreadableFileError : public ConfigError {
+ public:
+  using ConfigError::ConfigError;
+};
+
 // A key of the routing settings is missing, of the wrong type, or out of range.
 class SettingsError : public ConfigError {
  public:
--- a/tests/scenario/player.cpp
+++ b/tests/scenario/player.cpp
@@ -55,6 +55,7 @@
       {"stall", &Player::QueueWatchDenial},
       {"start", &Player::Start},
       {"reload", &Player::Reload},
+      {"descriptors", &Player::LimitDescriptors},
       {"signal", &Player::Terminate},
       {"wait", &Player::Wait},
       {"query", &Player::Query},
--- a/tests/scenario/player.h
+++ b/tests/scenario/player.h
@@ -3,6 +3,7 @@
 #ifndef LIFTRUDDER_TESTS_SCENARIO_PLAYER_H_
 #define LIFTRUDDER_TESTS_SCENARIO_PLAYER_H_
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <chrono>
@@ -97,6 +98,7 @@
   // process_statements.cpp: the program under test.
   void Start(const Statement& statement);
   void Reload(const Statement& statement);
+  void LimitDescriptors(const Statement& statement);
   void Terminate(const Statement& statement);
   void Wait(const Statement& statement);
   void AwaitExit();
@@ -127,7 +129,8 @@
   std::uint64_t list_version_ = 1;
   bool serves_search_ = false;
 
-  pid_t child_ = 0;  // 0: not running
+  pid_t child_ = 0;            // 0: not running
+  rlimit descriptor_limit_{};  // of the program at its start
   net::Fd log_fd_;
   std::string log_;  // of the program so far
   std::string program_address_;
--- a/tests/scenario/process_statements.cpp
+++ b/tests/scenario/process_statements.cpp
@@ -1,4 +1,5 @@
 // Statements for the program under test: start, configuration, signals and exit.
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -54,7 +55,23 @@
             "the program did not start to watch discovery");
 }
 
+void Player::LimitDescriptors(const Statement& statement) {
+  rlimit limit = descriptor_limit_;
+  if (statement.subject == "none") {
+    ::prlimit(child_, RLIMIT_NOFILE, nullptr, &descriptor_limit_);
+    limit = {0, descriptor_limit_.rlim_max};
+  }
+  if (::prlimit(child_, RLIMIT_NOFILE, &limit, nullptr) != 0) {
+    throw ScenarioError("cannot change the program's limit on descriptors");
+  }
+}
+
 void Player::Reload(const Statement& statement) {
+  if (statement.subject == "only") {
+    WriteConfiguration(config_.dump());
+    ::kill(child_, SIGHUP);
+    return;
+  }
   if (statement.subject == "bad") {
     WriteConfiguration("{");
     ::kill(child_, SIGHUP);
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -39,6 +39,8 @@
 //   keep NAME PREFIX SUFFIX  stores the text between these in the last expected message, to be used as $NAME
 //   close X                  closes X's connections; `reset X` resets them; `dead X` resets them and closes
 //                            X's listener too
+//   descriptors none         the program can open no file or socket until `descriptors restored`
+//   reload only              the configuration is written and SIGHUP is sent, without waiting for an effect
 //   reload [bad]             discovery moves to a new address, the configuration names it (bad: is not JSON)
 //                            and SIGHUP is sent; waits until the program watches there or, with `bad`, has
 //                            logged the error
