Never wait for the reader of the log

Callers saw (played on the started program, its log in a full pipe): while the main thread logged counters, a withdrawn key was accepted for as long as was looked (3 s); rejected callers got no answer; SIGTERM did not end the program (6 s); a late request in a shutdown got 504.

Cause: log::Write wrote with a blocking write. Evidence: with a full pipe the main thread, the credential watcher and three workers were in the system call write on descriptor 2. Ruled out with it: locks.

Change: LineWriter opens a pipe or terminal anew, non-blocking, since the flags of the inherited descriptor are shared (or polls it, if that fails), and sends to a socket without waiting. A line without room is dropped, and the next one that fits is preceded by their number. A partly written line is completed first. Why it works: no thread that serves callers, checks keys or shuts down has a wait left that a reader of the log ends. Considered and not taken: spdlog's asynchronous logger, which needs the same sink and a thread in each process.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -2,19 +2,14 @@
 
 #include <unistd.h>
 
-#include <chrono>
-#include <string>
+#include "log/line_writer.h"
 
 namespace liftrudder::log {
 
 void Write(std::string_view level, std::string_view text) {
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  auto ms = duration_cast<milliseconds>(now).count();
-  std::string line = fmt::format("{}.{:03} {} {}\n", ms / 1000, ms % 1000, level, text);
-  // A single call, so that lines of different threads do not interleave.
-  [[maybe_unused]] ssize_t written = ::write(STDERR_FILENO, line.data(), line.size());
+  // Never destroyed: threads may still log while the process exits.
+  static LineWriter& standard_error = *new LineWriter(STDERR_FILENO);
+  standard_error.Write(level, text);
 }
 
 }  // namespace liftrudder::log
--- a/tests/app/key_rotation_test.cpp
+++ b/tests/app/key_rotation_test.cpp
@@ -14,12 +14,15 @@
 #include <thread>
 
 #include "net/server.h"
+#include "support/search_configuration.h"
 #include "support/token_signer.h"
 #include "test_support/coordinator_process.h"
 #include "test_support/temporary_directory.h"
 
 using namespace liftrudder;
+using tests::Claims;
 using tests::Json;
+using tests::NowSeconds;
 using tests::Signer;
 
 namespace {
@@ -57,45 +60,6 @@
   std::set<std::string> seen_;
 };
 
-std::int64_t NowSeconds() {
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::seconds>(now).count();
-}
-
-Json Claims(std::int64_t lifetime_s) {
-  return {{"iss", "issuer"},           {"aud", "gatherer"},
-          {"nbf", NowSeconds() - 600}, {"exp", NowSeconds() + lifetime_s},
-          {"tenant", "north"},         {"sub", "teacher"}};
-}
-
-Json Config(const std::string& endpoint) {
-  Json query_class = {{"name", "whole"},     {"aimUs", 2'000'000}, {"giveUpUs", 8'000'000},
-                      {"lateShare", 0.3},    {"value", 1.0},       {"effect", "idempotent"},
-                      {"repeatWindowUs", 0}, {"dedupScope", "all"}};
-  Json entry = {{"id", "h"}, {"addr", endpoint}, {"zone", "dc1"}, {"kind", "k"},
-                {"cell", 0}, {"state", "ready"}, {"weight", 1.0}, {"started_ms", 0}};
-  Json settings =
-      Json::parse(R"({"az":0,"groupSize":1,"ordinal":0,"resolutionUs":1000,"dcs":["dc1"],"kinds":["k"],
-    "registryMode":"automatic","loadInfo":{"how":"inline","names":["queue","inflight"]},
-    "familyInfo":{"cells":1,"reach":1,"slices":1,"perCall":1,"classFetch":[0],"classFloor":[1.0],"wholeAt":[1.0],"incompleteWorth":[0.9]},
-    "bounds":{"attemptsCap":3,"cancelling":true,"connectTimeoutUs":250000,"idleCloseUs":30000000,"maxOpen":400,"maxRetryAfterUs":500000,"probes":true,"retryAfter":true,"secondCopies":true,"streamsPerConn":1},
-    "rules":{"graceToAnswerUs":20000,"stopSendingWithinUs":1000000}})");
-  settings["grades"] = Json::array({query_class});
-  return {{"name", "n1"},
-          {"seed", "8c1f30d27a5be964"},
-          {"listen", "127.0.0.1:0"},
-          {"discovery", ""},
-          {"limits", {{"sockets", 512}, {"memory_mb", 192}}},
-          {"known", {{"version", 1}, {"full", true}, {"servers", Json::array({entry})}}},
-          {"settings", settings},
-          {"opensearch", {{"indices", {{"lessons", {{"class", "whole"}, {"shards", {0}}}}}}}},
-          {"identity",
-           {{"keys", "keys.json"},
-            {"issuer", "issuer"},
-            {"audience", "gatherer"},
-            {"tenants", {{"north", {{"indices", {"lessons"}}}}}}}}};
-}
-
 }  // namespace
 
 // NOLINTNEXTLINE(readability-function-cognitive-complexity): a single run of one program under load.
@@ -124,8 +88,9 @@
     std::filesystem::rename(directory.path() + "/keys.new", directory.path() + "/keys.json");
   };
   write_keys(0);
-  test_support::CoordinatorProcess coordinator_process(
-      LIFTRUDDER_PROGRAM, directory.path(), Config(endpoint_address).dump(), {"--opensearch", "$CONFIG"});
+  test_support::CoordinatorProcess coordinator_process(LIFTRUDDER_PROGRAM, directory.path(),
+                                                       tests::SearchConfiguration(endpoint_address).dump(),
+                                                       {"--opensearch", "$CONFIG"});
   INFO(coordinator_process.Log());
   REQUIRE(!coordinator_process.addr().empty());
 
--- a/tools/test_support/coordinator_process.cpp
+++ b/tools/test_support/coordinator_process.cpp
@@ -29,7 +29,7 @@
 
 CoordinatorProcess::CoordinatorProcess(const std::string& program, const std::string& directory,
                                        const std::string& config, const std::vector<std::string>& arguments,
-                                       int listener_fd)
+                                       int listener_fd, int log_fd)
     : log_path_(directory + "/log") {
   std::string path = directory + "/config.json";
   std::ofstream(path) << config;
@@ -40,7 +40,7 @@
   ::unlink(log_path_.c_str());
   child_ = ::fork();
   if (child_ == 0) {
-    int log_fd = ::open(log_path_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    if (log_fd < 0) log_fd = ::open(log_path_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
     ::dup2(log_fd, STDERR_FILENO);
     ::setenv("BALANCER_CONFIG", path.c_str(), 1);
     if (listener_fd >= 0) {
@@ -49,6 +49,7 @@
     }
     ExecProgram(program, expanded_arguments);
   }
+  if (log_fd >= 0) return;
   for (net::Micros waited_us = 0; addr_.empty() && waited_us < kTestTimeoutUs; waited_us += 10'000) {
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
     addr_ = LoggedTextAfter(" listens on ");
--- a/tools/test_support/coordinator_process.h
+++ b/tools/test_support/coordinator_process.h
@@ -21,8 +21,9 @@
   // Writes the configuration into `directory` and starts the program with it. In `arguments`, $CONFIG stands
   // for the path of the file. `listener_fd`: a listening socket that the program inherits as descriptor 3; -1
   // for none. When addr() is empty afterwards, the program did not start to listen and Log() says why.
+  // `log_fd`: a descriptor for the program's log in place of a file; addr() and Log() are empty then.
   CoordinatorProcess(const std::string& program, const std::string& directory, const std::string& config,
-                     const std::vector<std::string>& arguments = {}, int listener_fd = -1);
+                     const std::vector<std::string>& arguments = {}, int listener_fd = -1, int log_fd = -1);
   ~CoordinatorProcess() { Kill(); }
   CoordinatorProcess(const CoordinatorProcess&) = delete;
 
