Serve on when the reader of the log is gone

Callers saw (played on the started program): after the process that read its log had ended, the next log line ended the coordinator (signal 13), with every open query.

Cause: SIGPIPE had its default action, and the log is written with write. Ruled out: sockets, which are written with MSG_NOSIGNAL.

Change: the coordinator ignores SIGPIPE from before its first log line. Sub-commands do not, so that they end when nobody reads their output.

--- a/src/app/signals.cpp
+++ b/src/app/signals.cpp
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 
+#include <csignal>
 #include <ctime>
 
 namespace liftrudder::app {
@@ -32,6 +33,8 @@
   pthread_sigmask(SIG_BLOCK, &set_, nullptr);
 }
 
+void IgnoreBrokenPipes() { std::signal(SIGPIPE, SIG_IGN); }
+
 ControlSignal ControlSignals::Wait() const { return FromNumber(sigwaitinfo(&set_, nullptr)); }
 
 ControlSignal ControlSignals::WaitFor(coordinator::Micros timeout_us) const {
--- a/src/app/signals.h
+++ b/src/app/signals.h
@@ -31,6 +31,10 @@
   sigset_t set_{};
 };
 
+// Ignores SIGPIPE in the whole process: the coordinator serves on when the reader of its log is gone. Not for
+// sub-commands, which are to end when nobody reads their output.
+void IgnoreBrokenPipes();
+
 }  // namespace liftrudder::app
 
 #endif  // LIFTRUDDER_APP_SIGNALS_H_
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -32,6 +32,7 @@
     return program.exit(error) == 0 ? 0 : app::kBadUsage;
   }
   if (sub_command) return sub_command();
+  app::IgnoreBrokenPipes();
   app::ServeOptions options =
       search_file.empty() ? app::ReadPlatformOptions() : app::ReadSearchOptions(search_file);
   app::CoordinatorServer server(std::move(options), signals);
--- a/tests/app/log_reader_test.cpp
+++ b/tests/app/log_reader_test.cpp
@@ -127,3 +127,18 @@
   CHECK(program.Request(0) == kOk);
   CHECK(program.process().Stop() >= 0);
 }
+
+// Guards against a log whose reader is gone and that ends the program by SIGPIPE, at whatever line comes
+// next.
+TEST_CASE(
+    "when the reader of the log is gone, callers are answered, keys change, and SIGTERM ends the program") {
+  Program program;
+  program.Start();
+  REQUIRE(program.Request(0) == kOk);
+  program.CloseLogReader();
+  program.process().Signal(SIGUSR1);
+  program.WriteKeys({"withdrawn", "active"});
+  REQUIRE(program.BecomesStatus(0, kUnauthorized));
+  CHECK(program.Request(1) == kOk);
+  CHECK(program.process().Stop() >= 0);
+}
