Reject targets with control bytes, and encode forwarded parameters anew

Cause: the HTTP parser took any byte but a space in a target, and the search front copied the raw value of a forwarded parameter into its own request line.

Change: a target consists of visible ASCII characters on every listener, or the request is malformed (400, closed). Values of forwarded parameters of searches and counts are decoded and percent-encoded anew, so that `;` cannot begin another parameter either. Ruled out by reading: the platform's ids and keys, header fields, index names. Why it works: what goes to an endpoint is built from checked names and encoded values, never from bytes of a client.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -21,15 +21,28 @@
   return text;
 }
 
+bool IsLetterOrDigit(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+}
+
 // RFC 9110 section 5.6.2.
 bool IsToken(std::string_view text) {
   constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
   return !text.empty() && std::ranges::all_of(text, [&](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-           kTokenPunctuation.find(c) != std::string_view::npos;
+    return IsLetterOrDigit(c) || kTokenPunctuation.find(c) != std::string_view::npos;
   });
 }
 
+// A target consists of these bytes only (RFC 9112 section 3.2, RFC 3986). Some recipients end or split a
+// request line at others, such as tabs and line feeds.
+bool IsVisibleAscii(char c) { return c >= 0x21 && c <= 0x7e; }
+
+// RFC 3986 section 2.3.
+bool IsUnreserved(char c) {
+  constexpr std::string_view kUnreservedPunctuation = "-._~";
+  return IsLetterOrDigit(c) || kUnreservedPunctuation.find(c) != std::string_view::npos;
+}
+
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kForbiddenInHeader("\r\n\0", 3);
@@ -124,6 +137,18 @@
   return decoded;
 }
 
+std::string PercentEncode(std::string_view text) {
+  std::string encoded;
+  for (char c : text) {
+    if (IsUnreserved(c)) {
+      encoded.push_back(c);
+    } else {
+      fmt::format_to(std::back_inserter(encoded), "%{:02X}", static_cast<unsigned char>(c));
+    }
+  }
+  return encoded;
+}
+
 std::vector<std::pair<std::string, std::string>> HttpMessage::Parameters() const {
   std::vector<std::pair<std::string, std::string>> parameters;
   std::string_view query = QueryOf(target);
@@ -204,6 +229,7 @@
   std::string_view version = line.substr(target_end + 1);
   message_.close = version == "HTTP/1.0";
   return IsToken(message_.method) && message_.target.starts_with('/') &&
+         std::ranges::all_of(message_.target, IsVisibleAscii) &&
          (version == "HTTP/1.1" || version == "HTTP/1.0");
 }
 
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -110,6 +110,9 @@
 
 // Decodes percent-encoding and plus signs in a part of a target.
 std::string PercentDecode(std::string_view text);
+// Encodes all bytes but the unreserved characters (RFC 3986 section 2.3), so that the text can be a name or a
+// value in any part of a target.
+std::string PercentEncode(std::string_view text);
 
 }  // namespace liftrudder::net
 
--- a/src/opensearch/requests.cpp
+++ b/src/opensearch/requests.cpp
@@ -51,7 +51,8 @@
   if (request.target.find('?') != std::string::npos) {
     auto query_string = request.Parameter(wire::kQueryString);
     if (!query_string) return tl::unexpected(BadRequest("only [q] is supported beside the body of a count"));
-    parameters = fmt::format("&{}={}", wire::kQueryString, *query_string);
+    parameters =
+        fmt::format("&{}={}", wire::kQueryString, net::PercentEncode(net::PercentDecode(*query_string)));
   }
   if (filter.empty()) {
     return ShardCall{parameters.empty() ? path : path + "?" + parameters.substr(1), request.body};
--- a/src/opensearch/search.cpp
+++ b/src/opensearch/search.cpp
@@ -135,7 +135,8 @@
     }
     search.allow_partial = value == "true";
   } else if (IsOneOf(name, kForwardedParameters)) {
-    fmt::format_to(std::back_inserter(search.parameters), "&{}={}", name, raw);
+    // Encoded anew: what a client sent may read otherwise to an endpoint, such as a `;` between parameters.
+    fmt::format_to(std::back_inserter(search.parameters), "&{}={}", name, net::PercentEncode(value));
   } else {
     return BadRequest(fmt::format("parameter [{}] is not supported", name));
   }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -20,6 +20,25 @@
 
 }  // namespace
 
+// Guards against bytes in a target that end or split the request line for the endpoint that it is forwarded
+// to.
+TEST_CASE("a target consists of visible ASCII characters") {
+  for (int byte = 0; byte < 256; ++byte) {
+    if (byte == ' ') continue;  // ends the target
+    const std::string request = std::string("GET /a?b=") + static_cast<char>(byte) + " HTTP/1.1\r\n\r\n";
+    const bool visible = byte > 0x20 && byte < 0x7f;
+    CHECK(ErrorOf(request) == (visible ? HttpParseError::kNone : HttpParseError::kStartLine));
+  }
+}
+
+TEST_CASE("percent-encoding keeps unreserved characters only, and decoding reverses it") {
+  CHECK(net::PercentEncode("aZ9-._~") == "aZ9-._~");
+  CHECK(net::PercentEncode("a b;c=d&e\n+") == "a%20b%3Bc%3Dd%26e%0A%2B");
+  std::string all;
+  for (int byte = 0; byte < 256; ++byte) all.push_back(static_cast<char>(byte));
+  CHECK(net::PercentDecode(net::PercentEncode(all)) == all);
+}
+
 TEST_CASE("the parser reports which part of a rejected request is malformed") {
   const std::string line = "POST / HTTP/1.1\r\n";
   const std::string chunked = line + "Transfer-Encoding: chunked\r\n\r\n";
--- a/tests/scenario/client_statements.cpp
+++ b/tests/scenario/client_statements.cpp
@@ -73,7 +73,7 @@
   words >> method >> target;
   std::getline(words >> std::ws, body);
   const std::string& headers = authorization_headers_[statement.subject];
-  return HttpRequest(method, target, headers, Unescape(body));
+  return HttpRequest(method, Unescape(target), headers, Unescape(body));
 }
 
 void Player::Http(const Statement& statement) { Write(Client(statement.subject), HttpText(statement)); }
