Count a shard as answered only if its response covers its shards

Cause: IsCompleteResponse compared `_shards.failed` with 0 and never `successful` with `total`; a shard that is not allocated is neither.

Change: where a response states either number, both must be whole numbers, equal and above 0; any other response is an error of the attempt and is retried as such.

--- a/src/opensearch/merge.cpp
+++ b/src/opensearch/merge.cpp
@@ -118,15 +118,25 @@
   return out + "}";
 }
 
+// Whether `shards`, a response's account of the shards that it covers, leaves none out. Shards that are not
+// allocated are neither successful nor failed; shards that were skipped count as successful.
+bool CoversItsShards(std::string_view shards) {
+  std::string_view failed = json::FindMember(shards, wire::kFailed);
+  if (!failed.empty() && failed != "0") return false;
+  std::string_view total = json::FindMember(shards, wire::kTotal);
+  std::string_view successful = json::FindMember(shards, wire::kSuccessful);
+  if (total.empty() && successful.empty()) return true;
+  std::optional<std::int64_t> total_count = json::ParseInteger(total);
+  return total_count && *total_count > 0 && json::ParseInteger(successful) == total_count;
+}
+
 }  // namespace
 
 bool IsCompleteResponse(std::string_view body, bool is_count) {
   if (!json::Valid(body) || !json::FindMember(body, wire::kError).empty()) return false;
   std::string_view timed_out = json::FindMember(body, wire::kTimedOut);
-  std::string_view shards = json::FindMember(body, wire::kShards);
   if (!timed_out.empty() && timed_out != "false") return false;
-  std::string_view failed = json::FindMember(shards, wire::kFailed);
-  if (!failed.empty() && failed != "0") return false;
+  if (!CoversItsShards(json::FindMember(body, wire::kShards))) return false;
   if (is_count) return json::ParseInteger(json::FindMember(body, wire::kCount)).value_or(-1) >= 0;
   std::string_view hits = json::FindMember(json::FindMember(body, wire::kHits), wire::kHits);
   return hits.starts_with('[');
--- a/src/opensearch/merge.h
+++ b/src/opensearch/merge.h
@@ -27,8 +27,8 @@
 };
 
 // Returns whether an endpoint's response is complete: well formed, with the requested hits or count, and
-// without error, timeout or failed shards. Any other response is an error, even one that resembles an empty
-// list of hits. `is_count`: a count is expected in place of hits.
+// without error, timeout, or shards that failed or are left out. Any other response is an error, even one
+// that resembles an empty list of hits. `is_count`: a count is expected in place of hits.
 bool IsCompleteResponse(std::string_view body, bool is_count);
 
 // Returns none when a shard's hits cannot be read, or lack a sort value for a sort key.
--- a/src/opensearch/wire_names.h
+++ b/src/opensearch/wire_names.h
@@ -58,6 +58,7 @@
 inline constexpr std::string_view kError = "error";
 inline constexpr std::string_view kTimedOut = "timed_out";
 inline constexpr std::string_view kShards = "_shards";
+inline constexpr std::string_view kSuccessful = "successful";
 inline constexpr std::string_view kFailed = "failed";
 inline constexpr std::string_view kCount = "count";
 inline constexpr std::string_view kHits = "hits";
--- a/tests/opensearch/merge_test.cpp
+++ b/tests/opensearch/merge_test.cpp
@@ -11,10 +11,21 @@
   CHECK(opensearch::IsCompleteResponse(R"({"timed_out":false,"_shards":{"failed":0},"hits":{"hits":[]}})",
                                        false));
   CHECK(opensearch::IsCompleteResponse(R"({"count":0})", true));
+  CHECK(opensearch::IsCompleteResponse(
+      R"({"_shards":{"total":1,"successful":1,"skipped":1,"failed":0},"hits":{"hits":[]}})", false));
+  CHECK_FALSE(opensearch::IsCompleteResponse(
+      R"({"count":0,"_shards":{"total":1,"successful":0,"skipped":0,"failed":0}})", true));
   for (const char* bad :
        {"", "{}", "[]", R"({"hits":{}})", R"({"hits":[]})", R"({"error":{},"hits":{"hits":[]}})",
         R"({"timed_out":true,"hits":{"hits":[]}})", R"({"_shards":{"failed":1},"hits":{"hits":[]}})",
-        R"({"count":3})", R"({"hits":{"hits":[]})"}) {
+        R"({"count":3})", R"({"hits":{"hits":[]})",
+        // Guards against an answer that counts as complete without the documents of an unallocated shard.
+        R"({"_shards":{"total":1,"successful":0,"skipped":0,"failed":0},"hits":{"hits":[]}})",
+        R"({"_shards":{"total":2,"successful":1},"hits":{"hits":[]}})",
+        R"({"_shards":{"total":0,"successful":0},"hits":{"hits":[]}})",
+        R"({"_shards":{"total":1},"hits":{"hits":[]}})", R"({"_shards":{"successful":1},"hits":{"hits":[]}})",
+        R"({"_shards":{"total":"1","successful":"1"},"hits":{"hits":[]}})",
+        R"({"_shards":{"total":-1,"successful":-1},"hits":{"hits":[]}})"}) {
     INFO(bad);
     CHECK_FALSE(opensearch::IsCompleteResponse(bad, false));
   }
