--- a/src/app/graceful_shutdown.cpp
+++ b/src/app/graceful_shutdown.cpp
@@ -39,9 +39,8 @@
   if (context.listener_is_shared) server.StopAccepting();
   coordinator.BeginShutdown(answer_by_us);
   log::Info(
-      "shutting down; {} queries are in flight; answers are sure for {:.3f} s, SIGKILL may come after {:.3f} "
-      "s "
-      "(the longest client timeout is {:.3f} s)",
+      "shutting down; {} queries are in flight; answers are sure for {:.3f} s, "
+      "SIGKILL may come after {:.3f} s (the longest client timeout is {:.3f} s)",
       coordinator.OpenQueries(), Seconds(timeouts.answer_within_us), Seconds(timeouts.kill_us),
       Seconds(timeouts.longest_client_timeout_us));
   KeepListening(context);
--- a/src/app/graceful_shutdown.h
+++ b/src/app/graceful_shutdown.h
@@ -26,7 +26,8 @@
 //    and clients notice the shutdown late; if the listener is shared, it stops accepting at once, and the
 //    other process accepts them.
 // 2. It stops listening.
-// 3. It returns when every connection has closed; each request that has begun to arrive is answered.
+// 3. It returns when every connection has closed; each request that has begun to arrive is answered, within
+//    `timeouts.answer_within_us`.
 // SIGHUP is handled throughout, since open requests still need endpoints; other signals are ignored.
 void ShutDownGracefully(net::Server& server, coordinator::Coordinator& coordinator,
                         const ShutdownContext& context);
--- a/src/log/line_writer.cpp
+++ b/src/log/line_writer.cpp
@@ -24,10 +24,10 @@
 
 std::string LostLinesNotice(std::int64_t lines_lost) {
   return FormatLine("error",
-                    fmt::format("{} log lines before this one are lost: the log had no room", lines_lost));
+                    fmt::format("{} log lines before this one are lost: the log was full", lines_lost));
 }
 
-bool HasRoom(int fd) {
+bool IsWritable(int fd) {
   pollfd polled{fd, POLLOUT, 0};
   return ::poll(&polled, 1, 0) == 1 && (polled.revents & POLLOUT) != 0;
 }
@@ -87,9 +87,10 @@
       size_written = ::send(fd_, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
       break;
     case Kind::kPolled:
-      // A pipe with room takes this many bytes at once.
-      if (HasRoom(fd_))
+      // A writable pipe takes this many bytes at once.
+      if (IsWritable(fd_)) {
         size_written = ::write(fd_, text.data(), std::min<std::size_t>(text.size(), PIPE_BUF));
+      }
       break;
     case Kind::kFile:
     case Kind::kNonBlocking:
--- a/src/log/line_writer.h
+++ b/src/log/line_writer.h
@@ -1,5 +1,5 @@
-// Writes log lines to a descriptor without waiting for its reader: a line for which a pipe, socket or
-// terminal has no room is dropped and counted. Thread-safe.
+// Writes log lines to a descriptor without waiting for its reader: a line that does not fit into a full pipe,
+// socket or terminal is dropped and counted. Thread-safe.
 #ifndef LIFTRUDDER_LOG_LINE_WRITER_H_
 #define LIFTRUDDER_LOG_LINE_WRITER_H_
 
@@ -27,13 +27,13 @@
  private:
   enum class Kind {
     kFile,         // a write does not depend on a reader
-    kSocket,       // each send can be told not to wait
+    kSocket,       // each send can be made not to wait
     kNonBlocking,  // fd_ is a non-blocking description of its own
     kPolled,       // no such description could be opened: fd_ is polled before each write
   };
 
-  // These return how many bytes were written, and need mutex_ to be held. WriteAll stops only where there is
-  // no room.
+  // These return how many bytes were written, and need mutex_ to be held. WriteAll stops only at a full
+  // buffer.
   std::size_t WriteAll(std::string_view text) const;
   std::size_t WriteSome(std::string_view text) const;
 
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -1,6 +1,6 @@
 // The process log: each call writes one line to standard error, with the Unix time in seconds and a level. A
-// call never waits for a reader of the log; lines without room are dropped and counted (log/line_writer.h).
-// No files, rotation or filtering. Thread-safe.
+// call never waits for a reader of the log; lines that do not fit are dropped and counted
+// (log/line_writer.h). No files, rotation or filtering. Thread-safe.
 #ifndef LIFTRUDDER_LOG_LOG_H_
 #define LIFTRUDDER_LOG_LOG_H_
 
--- a/tests/identity/identity_test.cpp
+++ b/tests/identity/identity_test.cpp
@@ -250,8 +250,9 @@
   CHECK(Describe(*set) == "'a' announced");
   CHECK(Describe(*MakeKeySet({})) == "none");
   std::vector<Json> keys;
-  for (std::size_t i = 0; i < kMaxDescribedKeys + 2; ++i)
+  for (std::size_t i = 0; i < kMaxDescribedKeys + 2; ++i) {
     keys.push_back(Signer(true).Jwk(fmt::format("k{:02}", i)));
+  }
   const std::string text = Describe(*MakeKeySet(keys));
   CHECK(text.find("'k15' active and 2 more") != std::string::npos);
   CHECK(text.find("'k16'") == std::string::npos);
--- a/tests/log/line_writer_test.cpp
+++ b/tests/log/line_writer_test.cpp
@@ -56,7 +56,7 @@
   }
 }
 
-// More than a pipe or a socket has room for.
+// More than fits into a pipe or a socket.
 constexpr int kManyLines = 20'000;
 
 void CheckNeverWaits(const Channel& channel, log::LineWriter& writer) {
@@ -78,7 +78,7 @@
 
 }  // namespace
 
-TEST_CASE("a line never waits for the reader of a pipe, and the lines without room are counted") {
+TEST_CASE("a line never waits for the reader of a pipe, and the lines that do not fit are counted") {
   const Channel channel = OpenPipe();
   log::LineWriter writer(channel.writer.Get());
   CheckNeverWaits(channel, writer);
@@ -98,13 +98,13 @@
   CheckNeverWaits(channel, writer);
 }
 
-TEST_CASE("a line never waits for the reader of a socket, and the lines without room are counted") {
+TEST_CASE("a line never waits for the reader of a socket, and the lines that do not fit are counted") {
   const Channel channel = OpenSocketPair();
   log::LineWriter writer(channel.writer.Get());
   CheckNeverWaits(channel, writer);
 }
 
-TEST_CASE("a line longer than the room is completed before the next one") {
+TEST_CASE("a line that fits in part is completed before the next one") {
   const Channel channel = OpenPipe();
   log::LineWriter writer(channel.writer.Get());
   const std::string longer_than_the_pipe(std::size_t{1} << 17, 'y');
