--- a/src/app/coordinator_server.h
+++ b/src/app/coordinator_server.h
@@ -24,9 +24,8 @@
 // Start-up, in this order; when a step throws, the parts started so far are destroyed in reverse:
 //   1. TLS files, and the check that clients are asked for certificates if the permission table uses them;
 //   2. the runtime: coordinator, connection pool, decision log (see its header);
-//   3. the credential watcher, where keys or TLS are configured; the admin address, whose health check
-//   reports
-//      "not serving" until step 7;
+//   3. the credential watcher, where keys or TLS are configured; then the admin address, whose health check
+//      reports "not serving" until step 7;
 //   4. the source of endpoints: a zone file, or the discovery watch;
 //   5. the handler of client requests, then the listener;
 //   6. a bounded wait for the first endpoint list from discovery; connecting clients wait in the backlog;
