Read a request that has begun when a slow worker hands its connection to a stopping server

Cause: a worker that hands a connection back to a stopping server closed it without a look at arrived bytes; the test got there because the worker was held up between its write and the hand-over. The reader thread looks before it closes.

Change: the worker looks too, only while the server stops; if bytes have arrived, the reader thread gets the connection.

Measured (x86-64): a new case of net.server holds the worker behind its write; it failed before (no response) and passes, as do the other nine.

--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -128,7 +128,9 @@
 
 void Server::AwaitNextRequest(SessionRef session) {
   std::unique_lock lock(mutex_);
-  if (stopping_ && session->phase == SessionPhase::kBusy) {
+  // Unless the next request has begun to arrive: the reader thread reads it then, and it is answered.
+  if (stopping_ && session->phase == SessionPhase::kBusy &&
+      Peek(session->connection.fd()) != SocketState::kBytes) {
     lock.unlock();
     CloseGracefully(session);
     return;
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -47,8 +47,16 @@
   }
   net::HttpResponse OverloadedResponse(const net::HttpMessage*) override { return MalformedResponse(503); }
   net::HttpResponse ShuttingDownResponse() override { return MalformedResponse(503); }
-  void OnResponseWritten(const std::vector<net::AnsweredQuery>&, int, std::size_t, bool) override {}
+  void OnResponseWritten(const std::vector<net::AnsweredQuery>&, int, std::size_t, bool) override {
+    std::unique_lock lock(mutex_);
+    if (block_after_response_) changed_.wait(lock, [this] { return released_; });
+  }
 
+  // Holds workers that have written a response, until Release.
+  void BlockAfterResponse() {
+    std::lock_guard lock(mutex_);
+    block_after_response_ = true;
+  }
   void BlockMalformed() {
     std::lock_guard lock(mutex_);
     block_malformed_ = true;
@@ -85,6 +93,7 @@
   int malformed_ = 0;
   bool released_ = false;
   bool block_malformed_ = false;
+  bool block_after_response_ = false;
 };
 
 struct ServerFixture {
@@ -249,6 +258,22 @@
   CHECK(ReadStatus(partial) == 200);
 }
 
+// Guards against a request that is dropped because its connection's worker, slow after the response before,
+// finds the server stopping.
+TEST_CASE("a request that begins to arrive before its connection's worker is done is read and answered") {
+  ServerFixture fixture;
+  fixture.handler.BlockAfterResponse();
+  net::Fd partial = net::Connect(fixture.addr, kTestTimeoutUs);
+  Send(partial, Request("/"));
+  CHECK(ReadStatus(partial) == 200);
+  Send(partial, "GET / HTTP/1.1\r\nHo");
+  fixture.server->StopListening();
+  AwaitCondition([&] { return !net::Connect(fixture.addr, kTestTimeoutUs).Valid(); });
+  fixture.handler.Release();
+  Send(partial, "st: g\r\n\r\n");
+  CHECK(ReadStatus(partial) == 200);
+}
+
 // Guards against a request whose last byte comes just before the process is killed, which nobody answers.
 TEST_CASE("a request that is not complete when a shutdown leaves no time is rejected") {
   ServerFixture fixture;
